Add an entry daemon for the users' platform

Cause: borageridge must run on the platform without machines for control and without disks, on a quarter of a core; the gRPC path is too costly there. Change: decisions in domain types (placement, freshness, use lease, change of primary, connection budget), a lean daemon on one event loop, and platform/ as the only place with the platform's names and formats.

--- /dev/null
+++ b/src/cluster/Records.h
@@ -0,0 +1,55 @@
+#ifndef BORAGERIDGE_CLUSTER_RECORDS_H
+#define BORAGERIDGE_CLUSTER_RECORDS_H
+
+#include "borageridge/Failure.h"
+#include "borageridge/Types.h"
+#include "keyvalue/KeyValue.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace borageridge::cluster {
+
+/// Keys of the daemons in the key-value service.
+constexpr std::string_view OwnPrefix = "borageridge/";
+constexpr std::string_view GroupPrefix = "borageridge/groups/";
+constexpr std::string_view DaemonPrefix = "borageridge/daemons/";
+constexpr std::string_view PromoterKey = "borageridge/promoter";
+
+/// Who leads a service, as agreed through the key-value service.
+struct GroupRecord {
+  /// Store revision of this record; names the epoch. 0: no record is known.
+  keyvalue::Revision Epoch = 0;
+  Term PrimaryTerm = 0;
+  std::string Primary;
+  /// A change of primary has begun; nobody may use the primary.
+  bool Changing = false;
+  /// Start of the primary's memory; differs after it lost its log.
+  std::int64_t PrimaryBorn = 0;
+
+  friend bool operator==(const GroupRecord &, const GroupRecord &) = default;
+};
+
+std::string encode(const GroupRecord &Record);
+Expected<GroupRecord> decodeGroup(std::string_view Json,
+                                  keyvalue::Revision Changed);
+
+/// A daemon that may use primaries while its entry exists.
+struct DaemonRecord {
+  std::string Name;
+  std::string Ip;
+  std::uint16_t PeerPort = 0;
+  std::string AvailabilityZone;
+  /// Differs for each start of the daemon.
+  std::uint64_t Incarnation = 0;
+
+  friend bool operator==(const DaemonRecord &, const DaemonRecord &) = default;
+};
+
+std::string encode(const DaemonRecord &Record);
+Expected<DaemonRecord> decodeDaemon(std::string_view Json);
+
+} // namespace borageridge::cluster
+
+#endif // BORAGERIDGE_CLUSTER_RECORDS_H
--- /dev/null
+++ b/src/entry/CallerConnection.cpp
@@ -0,0 +1,156 @@
+#include "entry/CallerConnection.h"
+
+#include "platform/Wire.h"
+#include "runtime/Clock.h"
+
+#include <variant>
+
+namespace borageridge::entry {
+namespace {
+
+using runtime::bootTime;
+using runtime::error_code;
+using runtime::Task;
+using runtime::asio::redirect_error;
+using runtime::asio::use_awaitable;
+using statement::ErrorCode;
+
+constexpr std::size_t ReadBytes = 4096;
+// A caller that does not read its answer for this long is closed.
+constexpr Duration WriteLimit = std::chrono::seconds(10);
+// A connection that does not say what it wants is closed.
+constexpr Duration StartLimit = std::chrono::seconds(5);
+// Callers give up two seconds after their start message.
+constexpr Duration ConfigWait = std::chrono::milliseconds(1500);
+constexpr Duration ConfigStep = std::chrono::milliseconds(20);
+
+} // namespace
+
+bool CallerConnection::isIdle() const {
+  return Waiting && Buffer.empty() && !isInTransaction();
+}
+
+void CallerConnection::close() {
+  error_code Ignored;
+  Socket.close(Ignored);
+}
+
+Task<CallerConnection::Line> CallerConnection::readLine(std::string &Result) {
+  std::size_t Searched = 0;
+  for (;;) {
+    const std::size_t End = Buffer.find("\r\n", Searched);
+    if (End != std::string::npos) {
+      Result.assign(Buffer, 0, End);
+      Buffer.erase(0, End + 2);
+      co_return Line::Read;
+    }
+    if (Buffer.size() >= platform::MaxMessageBytes)
+      co_return Line::TooLong;
+    Searched = Buffer.empty() ? 0 : Buffer.size() - 1;
+    const std::size_t Old = Buffer.size();
+    Waiting = true;
+    // Waits without memory for the bytes: most sessions are idle.
+    error_code Error;
+    co_await Socket.async_wait(runtime::tcp::socket::wait_read,
+                               redirect_error(use_awaitable, Error));
+    Waiting = false;
+    if (Error)
+      co_return Line::Closed;
+    Buffer.resize(Old + ReadBytes);
+    const std::size_t Read = Socket.read_some(
+        runtime::asio::buffer(Buffer.data() + Old, ReadBytes), Error);
+    Buffer.resize(Old + Read);
+    if (Error && Error != runtime::asio::error::would_block)
+      co_return Line::Closed;
+  }
+}
+
+Task<bool> CallerConnection::write(std::string Bytes) {
+  const runtime::Watchdog Guard(Socket, WriteLimit);
+  error_code Error;
+  co_await runtime::asio::async_write(Socket, runtime::asio::buffer(Bytes),
+                                      redirect_error(use_awaitable, Error));
+  co_return !Error;
+}
+
+Task<const catalog::Route *> CallerConnection::waitForRoute() {
+  const Time Start = bootTime();
+  while (!S.Loaded && bootTime() - Start < ConfigWait)
+    co_await runtime::sleepFor(ConfigStep);
+  co_return S.Runner.route(Own.Database);
+}
+
+Task<bool> CallerConnection::start() {
+  std::string Text;
+  {
+    const runtime::Watchdog Guard(Socket, StartLimit);
+    if (co_await readLine(Text) != Line::Read)
+      co_return false;
+  }
+  const platform::CallerMessage Message = platform::decodeCallerMessage(Text);
+  const auto *Start = std::get_if<platform::StartMessage>(&Message);
+  if (Start == nullptr) {
+    co_await write(platform::encodeFatalError(ErrorCode::Malformed,
+                                              "expected a start message"));
+    co_return false;
+  }
+  Own.Database = Start->Database;
+  if (co_await waitForRoute() == nullptr) {
+    co_await write(platform::encodeFatalError(ErrorCode::UnknownDatabase,
+                                              "no such database"));
+    co_return false;
+  }
+  co_return co_await write(platform::encodeSessionReady());
+}
+
+Task<bool> CallerConnection::serveOne() {
+  std::string Text;
+  const Line Read = co_await readLine(Text);
+  if (Read == Line::TooLong)
+    co_await write(platform::encodeFatalError(ErrorCode::TooLarge,
+                                              "message is too long"));
+  if (Read != Line::Read)
+    co_return false;
+  const Time Arrival = bootTime();
+  platform::CallerMessage Message = platform::decodeCallerMessage(Text);
+  auto *Statement = std::get_if<statement::Statement>(&Message);
+  if (Statement == nullptr) {
+    if (!std::holds_alternative<platform::TerminateMessage>(Message))
+      co_await write(platform::encodeFatalError(ErrorCode::Malformed,
+                                                "unknown message"));
+    co_return false;
+  }
+  const statement::Reply Answer =
+      co_await S.Runner.execute(Own, std::move(*Statement), Arrival);
+  const bool Written = co_await write(platform::encodeReply(Answer));
+  co_return Written &&Answer.Error != ErrorCode::UnknownDatabase;
+}
+
+Task<void> CallerConnection::run() {
+  const auto Self = shared_from_this();
+  runtime::setUsualOptions(Socket);
+  error_code Ignored;
+  Socket.non_blocking(true, Ignored);
+  bool Open = co_await start();
+  while (Open) {
+    if (isInTransaction() && Buffer.empty()) {
+      // A transaction that rests too long gives its connection to others.
+      runtime::asio::steady_timer Idle(S.Io,
+                                       S.Runner.catalog().TransactionIdle);
+      Idle.async_wait([Self](const error_code &Error) {
+        if (!Error && Self->Waiting)
+          Self->S.Runner.failTransaction(Self->Own);
+      });
+      error_code Closed;
+      Waiting = true;
+      co_await Socket.async_wait(runtime::tcp::socket::wait_read,
+                                 redirect_error(use_awaitable, Closed));
+      Waiting = false;
+    }
+    Open = co_await serveOne();
+  }
+  S.Runner.abandon(Own);
+  close();
+}
+
+} // namespace borageridge::entry
--- /dev/null
+++ b/src/entry/Coordinator.h
@@ -0,0 +1,69 @@
+#ifndef BORAGERIDGE_ENTRY_COORDINATOR_H
+#define BORAGERIDGE_ENTRY_COORDINATOR_H
+
+#include "change/ChangePolicy.h"
+#include "cluster/UseLease.h"
+#include "entry/Exchange.h"
+#include "entry/State.h"
+#include "http/HttpClient.h"
+
+#include <set>
+#include <string>
+#include <vector>
+
+namespace borageridge::entry {
+
+/// Replaces primaries. One daemon at a time has the duty, under a lease of the
+/// store; all daemons compete for it.
+class Coordinator {
+public:
+  Coordinator(State &Shared, Exchange &Network,
+              runtime::tcp::endpoint PromotionService)
+      : S(Shared), Others(Network), Platform(Shared.Io, PromotionService) {}
+
+  runtime::Task<void> run();
+  /// Gives the duty up, so that another daemon takes it at once.
+  runtime::Task<void> resign(std::string Why);
+
+private:
+  bool holdsDuty(Time Now) const;
+  bool seesPeers(Time Now) const;
+  runtime::Task<void> compete();
+  runtime::Task<void> renew();
+  void evaluate(Time Now);
+  change::Cause causeOf(const std::string &Service, pool::ServicePool &Pool,
+                        std::vector<std::optional<pool::Evidence>> &About,
+                        Time Now);
+  runtime::Task<void> handle(std::string Service, change::Cause Why);
+  runtime::Task<bool> createRecord(std::string Service);
+  runtime::Task<bool> confirmRestarted(std::string Service);
+  runtime::Task<bool> change(std::string Service, change::Cause Why);
+  runtime::Task<bool> writeRecord(std::string Service,
+                                  cluster::GroupRecord &Record,
+                                  std::uint64_t Replaces);
+  runtime::Task<bool> endOldUse(std::string Service,
+                                cluster::GroupRecord Changing);
+  runtime::Task<std::vector<change::MemberReport>>
+  askMembers(std::string Service);
+  runtime::Task<std::optional<change::MemberReport>>
+  askMember(std::string Service, catalog::Member Info);
+  runtime::Task<std::optional<change::MemberReport>>
+  selectCandidate(std::string Service, std::string Old);
+  runtime::Task<std::optional<change::MemberReport>>
+  promote(std::string Service, change::MemberReport Candidate, Term OldTerm);
+  pool::ServicePool *pool(const std::string &Service);
+
+  State &S;
+  Exchange &Others;
+  http::HttpClient Platform;
+  cluster::UseLease Duty;
+  std::uint64_t FencingToken = 0;
+  Time RenewedAt;
+  std::set<std::string> Running;
+  std::map<std::string, Time> NotLeadingSince;
+  std::map<std::string, Time> GoneSince;
+};
+
+} // namespace borageridge::entry
+
+#endif // BORAGERIDGE_ENTRY_COORDINATOR_H
--- /dev/null
+++ b/src/entry/Daemon.h
@@ -0,0 +1,55 @@
+#ifndef BORAGERIDGE_ENTRY_DAEMON_H
+#define BORAGERIDGE_ENTRY_DAEMON_H
+
+#include "boot/DaemonSettings.h"
+#include "borageridge/Failure.h"
+#include "entry/CallerConnection.h"
+#include "entry/Coordinator.h"
+#include "entry/Exchange.h"
+#include "entry/Registration.h"
+#include "entry/State.h"
+#include "entry/StoreView.h"
+
+#include <memory>
+#include <set>
+#include <string>
+
+namespace borageridge::entry {
+
+/// The entry daemon: everything between the sockets of callers and members.
+class Daemon {
+public:
+  Daemon(runtime::asio::io_context &Io, boot::DaemonSettings Settings,
+         runtime::tcp::endpoint Store, runtime::tcp::endpoint Promotion,
+         telemetry::Log &Log);
+
+  /// Listens and starts all work on the loop. Fails if an address cannot be
+  /// bound.
+  Expected<void> start(std::uint16_t MetricsPort);
+
+private:
+  Expected<void> listen(std::uint16_t MetricsPort);
+  runtime::Task<void> acceptCallers(runtime::tcp::acceptor Acceptor);
+  runtime::Task<void> serveCaller(std::shared_ptr<CallerConnection> Caller);
+  runtime::Task<void> tick();
+  runtime::Task<void> handleSignals();
+  runtime::Task<void> stop();
+  void closeCallers(Duration Since);
+  bool isReady(Time Now) const;
+  http::Response answerReadiness(const http::Request &Call);
+  http::Response answerMetrics(const http::Request &Call);
+
+  runtime::asio::io_context &Io;
+  telemetry::Log &Log;
+  State S;
+  StoreView View;
+  Registration Lease;
+  Exchange Others;
+  Coordinator Changes;
+  std::set<std::shared_ptr<CallerConnection>> Callers;
+  bool WasReady = false;
+};
+
+} // namespace borageridge::entry
+
+#endif // BORAGERIDGE_ENTRY_DAEMON_H
--- /dev/null
+++ b/src/entry/EntryMetrics.h
@@ -0,0 +1,54 @@
+#ifndef BORAGERIDGE_ENTRY_ENTRYMETRICS_H
+#define BORAGERIDGE_ENTRY_ENTRYMETRICS_H
+
+#include "borageridge/Types.h"
+#include "statement/Statement.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace borageridge::entry {
+
+/// Metrics of an entry daemon. Used by one thread.
+class EntryMetrics {
+public:
+  EntryMetrics();
+
+  /// A statement of a database was answered after Latency.
+  void addStatement(std::string_view Database, Duration Latency,
+                    std::optional<statement::ErrorCode> Error);
+  void addRetry();
+  void addRead(bool OnPrimary);
+  void addChange(std::string_view Cause);
+  void setState(std::uint64_t ConfigVersion, std::size_t Sessions,
+                std::size_t Waiting, std::size_t Connections,
+                std::uint64_t StoreCalls, std::uint64_t Opened);
+
+  /// The metrics in the text format of Prometheus.
+  std::string text() const;
+
+private:
+  prometheus::Registry Registry;
+  prometheus::Family<prometheus::Histogram> &Latencies;
+  prometheus::Family<prometheus::Counter> &Errors;
+  prometheus::Family<prometheus::Counter> &Reads;
+  prometheus::Family<prometheus::Counter> &Changes;
+  prometheus::Counter &Retries;
+  prometheus::Counter &ReplicaReads;
+  prometheus::Counter &PrimaryReads;
+  prometheus::Family<prometheus::Gauge> &State;
+  std::map<std::string, prometheus::Histogram *, std::less<>> ByDatabase;
+};
+
+} // namespace borageridge::entry
+
+#endif // BORAGERIDGE_ENTRY_ENTRYMETRICS_H
--- /dev/null
+++ b/src/entry/Events.cpp
@@ -0,0 +1,16 @@
+#include "entry/Events.h"
+
+namespace borageridge::entry {
+
+std::vector<telemetry::EventDescription> allEvents() {
+  using namespace event;
+  return telemetry::describeAll(
+      Started, Ready, Draining, Stopped, SettingsReloaded, StartFailed,
+      ConfigApplied, EntryIgnored, RecordApplied, MemberLeaving,
+      MemberSuspected, MemberRecovered, ConnectionRefused, StoreLost,
+      StoreRegained, LeaseGranted, LeaseLost, PeerLost, PeerSeen, DutyTaken,
+      DutyLost, ChangeStarted, ChangeStep, ChangeCompleted, ChangeFailed,
+      UseRelinquished, RequestRefused, RequestRetried, LinesSuppressed);
+}
+
+} // namespace borageridge::entry
--- /dev/null
+++ b/src/entry/Events.h
@@ -0,0 +1,105 @@
+#ifndef BORAGERIDGE_ENTRY_EVENTS_H
+#define BORAGERIDGE_ENTRY_EVENTS_H
+
+#include "telemetry/Events.h"
+
+#include <vector>
+
+namespace borageridge::entry {
+
+/// Log events of the entry daemon. docs/OPERATIONS.md explains each; durations
+/// are milliseconds.
+namespace event {
+
+using telemetry::EventType;
+using telemetry::LogLevel;
+using telemetry::event::Number;
+using telemetry::event::Text;
+
+// The life of the process.
+inline constexpr EventType<Text, Text, Number> Started{
+    "started",
+    LogLevel::Info,
+    {"caller_address", "availability_zone", "incarnation"}};
+inline constexpr EventType<Number, Number> Ready{
+    "ready", LogLevel::Info, {"config_version", "services"}};
+inline constexpr EventType<Number> Draining{
+    "draining", LogLevel::Info, {"sessions"}};
+inline constexpr EventType<Number, Number> Stopped{
+    "stopped", LogLevel::Info, {"sessions", "drain_ms"}};
+inline constexpr EventType<Text> SettingsReloaded{
+    "settings_reloaded", LogLevel::Info, {"result"}};
+inline constexpr EventType<Text, Text> StartFailed{
+    "start_failed", LogLevel::Error, {"part", "detail"}};
+
+// What the daemon believes.
+inline constexpr EventType<Number, Number, Number> ConfigApplied{
+    "config_applied", LogLevel::Info, {"version", "routes", "services"}};
+inline constexpr EventType<Text, Text> EntryIgnored{
+    "entry_ignored", LogLevel::Warning, {"key", "detail"}};
+inline constexpr EventType<Text, Number, Number, Text, bool> RecordApplied{
+    "record_applied",
+    LogLevel::Info,
+    {"service", "epoch", "term", "primary", "changing"}};
+inline constexpr EventType<Text, Text> MemberLeaving{
+    "member_leaving", LogLevel::Info, {"service", "member"}};
+inline constexpr EventType<Text, Text, Text> MemberSuspected{
+    "member_suspected", LogLevel::Warning, {"service", "member", "evidence"}};
+inline constexpr EventType<Text, Text> MemberRecovered{
+    "member_recovered", LogLevel::Info, {"service", "member"}};
+inline constexpr EventType<Text, Text, Text> ConnectionRefused{
+    "connection_refused", LogLevel::Warning, {"service", "member", "error"}};
+inline constexpr EventType<Text, Text> StoreLost{
+    "store_lost", LogLevel::Warning, {"call", "failure"}};
+inline constexpr EventType<Number> StoreRegained{
+    "store_regained", LogLevel::Info, {"outage_ms"}};
+inline constexpr EventType<Number> LeaseGranted{
+    "lease_granted", LogLevel::Info, {"lease"}};
+inline constexpr EventType<Text> LeaseLost{
+    "lease_lost", LogLevel::Warning, {"cause"}};
+inline constexpr EventType<Text, Text> PeerLost{
+    "peer_lost", LogLevel::Warning, {"peer", "failure"}};
+inline constexpr EventType<Text> PeerSeen{
+    "peer_seen", LogLevel::Info, {"peer"}};
+
+// Changes of primary.
+inline constexpr EventType<Number> DutyTaken{
+    "duty_taken", LogLevel::Info, {"fencing_token"}};
+inline constexpr EventType<Text> DutyLost{
+    "duty_lost", LogLevel::Info, {"cause"}};
+inline constexpr EventType<Text, Text, Number, Number> ChangeStarted{
+    "change_started",
+    LogLevel::Warning,
+    {"service", "cause", "reporters", "live_daemons"}};
+inline constexpr EventType<Text, Text, Text> ChangeStep{
+    "change_step", LogLevel::Info, {"service", "step", "detail"}};
+inline constexpr EventType<Text, Text, Number, Number> ChangeCompleted{
+    "change_completed",
+    LogLevel::Info,
+    {"service", "primary", "term", "duration_ms"}};
+inline constexpr EventType<Text, Text> ChangeFailed{
+    "change_failed", LogLevel::Warning, {"service", "reason"}};
+inline constexpr EventType<Text, Number> UseRelinquished{
+    "use_relinquished", LogLevel::Info, {"service", "epoch"}};
+
+// Requests.
+inline constexpr EventType<Text, Text, Text, Text, Text, Number, Number>
+    RequestRefused{"request_refused",
+                   LogLevel::Warning,
+                   {"request", "database", "error", "reason", "member",
+                    "waited_ms", "epoch"}};
+inline constexpr EventType<Text, Text, Text, Number> RequestRetried{
+    "request_retried",
+    LogLevel::Info,
+    {"request", "member", "cause", "attempt"}};
+inline constexpr EventType<Number> LinesSuppressed{
+    "lines_suppressed", LogLevel::Warning, {"lines"}};
+
+} // namespace event
+
+/// Every event above, in the same order.
+std::vector<telemetry::EventDescription> allEvents();
+
+} // namespace borageridge::entry
+
+#endif // BORAGERIDGE_ENTRY_EVENTS_H
--- /dev/null
+++ b/src/entry/LogBudget.cpp
@@ -0,0 +1,22 @@
+#include "entry/LogBudget.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace borageridge::entry {
+
+bool LogBudget::take(Time Now) {
+  const std::chrono::duration<double> Passed = Now - Last;
+  Last = Now;
+  Tokens = std::min(Burst, Tokens + Passed.count() * PerSecond);
+  if (Tokens < 1) {
+    ++Suppressed;
+    return false;
+  }
+  Tokens -= 1;
+  return true;
+}
+
+std::uint64_t LogBudget::takeSuppressed() { return std::exchange(Suppressed, 0); }
+
+} // namespace borageridge::entry
--- /dev/null
+++ b/src/entry/Registration.cpp
@@ -0,0 +1,82 @@
+#include "entry/Registration.h"
+
+#include "entry/Events.h"
+#include "runtime/Clock.h"
+
+namespace borageridge::entry {
+namespace {
+
+using runtime::bootTime;
+using runtime::Task;
+
+// A change of primary waits this long for a daemon that is cut off; an outage
+// of the store that is shorter does not interrupt the use of primaries.
+constexpr Duration LeaseTtl = std::chrono::milliseconds(6000);
+constexpr Duration RenewInterval = std::chrono::milliseconds(1200);
+constexpr Duration FailurePause = std::chrono::milliseconds(200);
+
+} // namespace
+
+Task<void> Registration::run() {
+  while (!S.Stopping) {
+    bool Done = true;
+    if (S.Lease.id() == 0)
+      Done = co_await registerAnew();
+    else
+      co_await renew();
+    co_await runtime::sleepFor(Done ? RenewInterval : FailurePause);
+  }
+}
+
+// The records are read after the entry is written: a change of primary either
+// finds the entry and asks this daemon, or its record is found here.
+Task<bool> Registration::registerAnew() {
+  const Time SentAt = bootTime();
+  Expected<keyvalue::LeaseGrant> Grant = co_await S.Store.grant(LeaseTtl);
+  if (!Grant)
+    co_return false;
+  cluster::DaemonRecord Self;
+  Self.Name = S.Settings.InstanceName;
+  Self.Ip = S.Settings.Ip;
+  Self.PeerPort = S.Settings.PeerPort;
+  Self.AvailabilityZone = S.Settings.AvailabilityZone;
+  Self.Incarnation = S.Incarnation;
+  keyvalue::Transaction Entry;
+  Entry.Puts.push_back({std::string(cluster::DaemonPrefix) + Self.Name,
+                        cluster::encode(Self), Grant.value().Id});
+  const Expected<keyvalue::Revision> Written =
+      co_await S.Store.commit(std::move(Entry));
+  if (!Written || S.Stopping)
+    co_return false;
+  const Expected<void> Read = co_await View.refreshRecords();
+  if (!Read)
+    co_return false;
+  S.Lease.confirm(Grant.value().Id, SentAt,
+                  std::chrono::milliseconds(Grant.value().TtlMs));
+  S.Log.write(event::LeaseGranted, Grant.value().Id);
+  co_return true;
+}
+
+Task<void> Registration::renew() {
+  const keyvalue::LeaseId Id = S.Lease.id();
+  const Time SentAt = bootTime();
+  const Expected<void> Renewed = co_await S.Store.renew(Id);
+  if (Renewed) {
+    S.Lease.confirm(Id, SentAt, LeaseTtl);
+  } else if (Renewed.error().Kind == FailureKind::NotFound) {
+    S.Log.write(event::LeaseLost, "ended at the store");
+    S.Lease.drop();
+  }
+}
+
+Task<void> Registration::release() {
+  const keyvalue::LeaseId Id = S.Lease.id();
+  if (Id == 0)
+    co_return;
+  S.Lease.drop();
+  const Expected<void> Ended = co_await S.Store.endLease(Id);
+  if (!Ended)
+    S.Log.write(event::StoreLost, "end lease", Ended.error().Detail);
+}
+
+} // namespace borageridge::entry
--- /dev/null
+++ b/src/entry/State.h
@@ -0,0 +1,86 @@
+#ifndef BORAGERIDGE_ENTRY_STATE_H
+#define BORAGERIDGE_ENTRY_STATE_H
+
+#include "boot/DaemonSettings.h"
+#include "catalog/Catalog.h"
+#include "cluster/Records.h"
+#include "cluster/UseLease.h"
+#include "entry/EntryMetrics.h"
+#include "entry/Executor.h"
+#include "keyvalue/StoreClient.h"
+#include "peer/PeerChannel.h"
+#include "pool/ServicePool.h"
+#include "runtime/Async.h"
+#include "telemetry/Log.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace borageridge::entry {
+
+/// What another daemon last told.
+struct PeerReport {
+  Time Received;
+  /// By service: evidence about its primary; none if it answers.
+  std::map<std::string, std::optional<pool::Evidence>> About;
+  /// Statements in work by member.
+  std::map<std::string, std::uint32_t> InFlight;
+  bool ReachesStore = false;
+};
+
+/// Another daemon.
+struct Peer {
+  cluster::DaemonRecord Record;
+  std::shared_ptr<peer::PeerChannel> Channel;
+  PeerReport Last;
+  bool Lost = false;
+};
+
+/// Everything that the parts of one daemon share. One thread.
+struct State {
+  State(runtime::asio::io_context &Context, boot::DaemonSettings Given,
+        runtime::tcp::endpoint StoreAddress, telemetry::Log &Output)
+      : Io(Context), Settings(std::move(Given)), Log(Output),
+        Store(Context, StoreAddress),
+        Shared{Context, Output, Lease, Settings.InstanceName,
+               Settings.AvailabilityZone},
+        Runner(Context, ByService, Output, Metrics) {}
+
+  runtime::asio::io_context &Io;
+  boot::DaemonSettings Settings;
+  telemetry::Log &Log;
+  std::uint64_t Incarnation = 0;
+  keyvalue::StoreClient Store;
+  cluster::UseLease Lease;
+  EntryMetrics Metrics;
+  pool::PoolContext Shared;
+  Pools ByService;
+  Executor Runner;
+
+  /// Members by id, as registered.
+  std::map<std::string, catalog::Member> Members;
+  /// Members whose entry vanished, and when.
+  std::map<std::string, Time> Vanished;
+  std::map<std::string, cluster::GroupRecord> Records;
+  std::map<std::string, Peer> Peers;
+  /// Daemons with a lease, by name; with this one.
+  std::map<std::string, cluster::DaemonRecord> Daemons;
+  /// The entry of the daemon that may promote; revision 0: none.
+  keyvalue::Item Promoter;
+  bool Loaded = false;
+  bool Stopping = false;
+  std::size_t Sessions = 0;
+};
+
+/// Applies a record to the pool of its service, and keeps the newest.
+void applyRecord(State &S, const std::string &Service,
+                 const cluster::GroupRecord &Newer);
+
+/// Work in flight at a primary may end within this time when a change begins.
+constexpr Duration DrainLimit = std::chrono::milliseconds(300);
+
+} // namespace borageridge::entry
+
+#endif // BORAGERIDGE_ENTRY_STATE_H
--- /dev/null
+++ b/src/entry/StoreView.cpp
@@ -0,0 +1,258 @@
+#include "entry/StoreView.h"
+
+#include "entry/Events.h"
+#include "platform/Registry.h"
+#include "runtime/Clock.h"
+
+#include <set>
+
+namespace borageridge::entry {
+namespace {
+
+using keyvalue::Change;
+using keyvalue::Item;
+using runtime::bootTime;
+using runtime::Task;
+
+// Everything in the store concerns the daemons, so one watch serves for all.
+constexpr const char *WatchedPrefix = "";
+// A silent connection is noticed this late; each wait costs one call.
+constexpr Duration WatchWait = std::chrono::milliseconds(2500);
+// Answers that carry many changes at once cost less than one call for each.
+constexpr Duration WatchPause = std::chrono::milliseconds(40);
+constexpr Duration FailurePause = std::chrono::milliseconds(150);
+// Entries that lapsed with the store are back two seconds after its return.
+constexpr Duration VanishedGrace = std::chrono::milliseconds(2300);
+
+std::string_view suffix(std::string_view Key, std::string_view Prefix) {
+  return Key.substr(Prefix.size());
+}
+
+} // namespace
+
+void applyRecord(State &S, const std::string &Service,
+                 const cluster::GroupRecord &Newer) {
+  cluster::GroupRecord &Known = S.Records[Service];
+  if (Newer.Epoch <= Known.Epoch)
+    return;
+  Known = Newer;
+  const auto Found = S.ByService.find(Service);
+  if (Found != S.ByService.end())
+    runtime::spawn(S.Io, Found->second->followRecord(Newer, DrainLimit));
+}
+
+void StoreView::noteResult(std::string_view Call, const Failure *Failed,
+                           Time Now) {
+  if (Failed != nullptr && !LostSince) {
+    LostSince = Now;
+    S.Log.write(event::StoreLost, Call, Failed->Detail);
+  }
+  if (Failed == nullptr && LostSince) {
+    S.Log.write(event::StoreRegained,
+                static_cast<std::uint64_t>(
+                    std::chrono::duration_cast<std::chrono::milliseconds>(
+                        Now - *LostSince)
+                        .count()));
+    LostSince.reset();
+  }
+}
+
+Task<void> StoreView::run() {
+  keyvalue::Revision At = 0;
+  for (;;) {
+    if (At == 0) {
+      Expected<keyvalue::Revision> Loaded = co_await load();
+      noteResult("range", Loaded ? nullptr : &Loaded.error(), bootTime());
+      if (!Loaded) {
+        co_await runtime::sleepFor(FailurePause);
+        continue;
+      }
+      At = Loaded.value();
+    }
+    Expected<keyvalue::WatchResult> Seen =
+        co_await S.Store.watch(WatchedPrefix, At, WatchWait);
+    const Time Now = bootTime();
+    noteResult("watch", Seen ? nullptr : &Seen.error(), Now);
+    if (!Seen) {
+      co_await runtime::sleepFor(FailurePause);
+      continue;
+    }
+    if (Seen.value().HistoryLost) {
+      At = 0;
+      continue;
+    }
+    for (const Change &C : Seen.value().Changes)
+      apply(C, Now);
+    publishMembers(Now);
+    At = std::max(At, Seen.value().StoreRevision);
+    if (!Seen.value().Changes.empty())
+      co_await runtime::sleepFor(WatchPause);
+  }
+}
+
+Task<Expected<keyvalue::Revision>> StoreView::load() {
+  Expected<keyvalue::RangePage> Page = co_await S.Store.range(WatchedPrefix);
+  if (!Page)
+    co_return std::move(Page).error();
+  const Time Now = bootTime();
+  std::set<std::string> Present;
+  for (const Item &Read : Page.value().Items) {
+    Present.insert(Read.Key);
+    apply({Read, false}, Now);
+  }
+  const auto Absent = [&](const std::string &Key) {
+    if (Present.contains(Key))
+      return;
+    Change Removal;
+    Removal.Removed = true;
+    Removal.Written.Key = Key;
+    Removal.Written.Changed = Page.value().StoreRevision;
+    apply(Removal, Now);
+  };
+  const auto Members = S.Members;
+  for (const auto &[Id, M] : Members)
+    Absent(std::string(platform::MemberPrefix) + Id);
+  const auto Daemons = S.Daemons;
+  for (const auto &[Name, D] : Daemons)
+    Absent(std::string(cluster::DaemonPrefix) + Name);
+  Absent(std::string(cluster::PromoterKey));
+  publishMembers(Now);
+  S.Loaded = true;
+  co_return Page.value().StoreRevision;
+}
+
+Task<Expected<void>> StoreView::refreshRecords() {
+  Expected<keyvalue::RangePage> Page =
+      co_await S.Store.range(std::string(cluster::GroupPrefix));
+  if (!Page)
+    co_return std::move(Page).error();
+  for (const Item &Read : Page.value().Items)
+    apply({Read, false}, bootTime());
+  co_return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+void StoreView::apply(const Change &Seen, Time Now) {
+  const std::string_view Key = Seen.Written.Key;
+  if (Key == platform::ConfigKey) {
+    if (!Seen.Removed)
+      applyConfig(Seen.Written);
+  } else if (Key.starts_with(platform::MemberPrefix)) {
+    applyMember(Seen, Now);
+  } else if (Key.starts_with(cluster::DaemonPrefix)) {
+    applyDaemon(Seen);
+  } else if (Key == cluster::PromoterKey) {
+    if (Seen.Written.Changed >= S.Promoter.Changed || !Seen.Removed)
+      S.Promoter = Seen.Removed ? Item() : Seen.Written;
+  } else if (Key.starts_with(cluster::GroupPrefix) && !Seen.Removed) {
+    const Expected<cluster::GroupRecord> Record =
+        cluster::decodeGroup(Seen.Written.Value, Seen.Written.Changed);
+    if (Record)
+      applyRecord(S, std::string(suffix(Key, cluster::GroupPrefix)),
+                  Record.value());
+    else
+      S.Log.write(event::EntryIgnored, Key, Record.error().Detail);
+  }
+}
+
+void StoreView::applyConfig(const Item &Written) {
+  if (Written.Changed <= ConfigRevision)
+    return;
+  Expected<catalog::Catalog> Config = platform::decodeCatalog(Written.Value);
+  if (!Config) {
+    S.Log.write(event::EntryIgnored, Written.Key, Config.error().Detail);
+    return;
+  }
+  ConfigRevision = Written.Changed;
+  const catalog::Catalog &Newer = Config.value();
+  if (Newer.Version < S.Runner.catalog().Version)
+    return;
+  S.Log.write(event::ConfigApplied, Newer.Version,
+              Newer.RoutesByDatabase.size(), Newer.Services.size());
+  for (const auto &[Name, Spec] : Newer.Services) {
+    auto &Pool = S.ByService[Name];
+    if (!Pool) {
+      Pool = std::make_unique<pool::ServicePool>(S.Shared, Name);
+      if (const auto Record = S.Records.find(Name); Record != S.Records.end())
+        Pool->setRecord(Record->second, bootTime());
+      MembersChanged = true;
+    }
+    Pool->setSpec(Spec);
+  }
+  S.Runner.setCatalog(std::move(Config).value());
+}
+
+void StoreView::applyMember(const Change &Seen, Time Now) {
+  const std::string Id(suffix(Seen.Written.Key, platform::MemberPrefix));
+  if (Seen.Removed) {
+    if (S.Members.contains(Id))
+      S.Vanished.emplace(Id, Now);
+    return;
+  }
+  Expected<catalog::Member> Member =
+      platform::decodeMember(Id, Seen.Written.Value);
+  if (!Member) {
+    S.Log.write(event::EntryIgnored, Seen.Written.Key, Member.error().Detail);
+    return;
+  }
+  S.Vanished.erase(Id);
+  catalog::Member &Known = S.Members[Id];
+  if (Known == Member.value())
+    return;
+  Known = std::move(Member).value();
+  MembersChanged = true;
+}
+
+void StoreView::applyDaemon(const Change &Seen) {
+  const std::string Name(suffix(Seen.Written.Key, cluster::DaemonPrefix));
+  if (Seen.Removed) {
+    S.Daemons.erase(Name);
+    return;
+  }
+  const Expected<cluster::DaemonRecord> Record =
+      cluster::decodeDaemon(Seen.Written.Value);
+  if (!Record) {
+    S.Log.write(event::EntryIgnored, Seen.Written.Key, Record.error().Detail);
+    return;
+  }
+  S.Daemons[Name] = Record.value();
+  if (Name == S.Settings.InstanceName)
+    return;
+  Peer &Other = S.Peers[Name];
+  if (Other.Channel && Other.Record == Record.value())
+    return;
+  Other.Record = Record.value();
+  runtime::error_code Ignored;
+  const auto Ip =
+      runtime::asio::ip::make_address_v4(Record.value().Ip, Ignored);
+  Other.Channel = std::make_shared<peer::PeerChannel>(
+      S.Io, runtime::tcp::endpoint(Ip, Record.value().PeerPort));
+  Other.Last = PeerReport();
+}
+
+void StoreView::publishMembers(Time Now) {
+  if (!MembersChanged)
+    return;
+  MembersChanged = false;
+  std::map<std::string, std::vector<catalog::Member>> ByService;
+  for (const auto &[Id, M] : S.Members)
+    ByService[M.Service].push_back(M);
+  for (const auto &[Name, Pool] : S.ByService)
+    Pool->setMembers(std::move(ByService[Name]), Now);
+}
+
+void StoreView::tick(Time Now) {
+  for (auto It = S.Vanished.begin(); It != S.Vanished.end();) {
+    if (Now - It->second < VanishedGrace || LostSince) {
+      if (LostSince)
+        It->second = Now;
+      ++It;
+      continue;
+    }
+    S.Members.erase(It->first);
+    It = S.Vanished.erase(It);
+    MembersChanged = true;
+  }
+  publishMembers(Now);
+}
+
+} // namespace borageridge::entry
--- /dev/null
+++ b/src/http/HttpServer.cpp
@@ -0,0 +1,85 @@
+#include "http/HttpServer.h"
+
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace borageridge::http {
+namespace {
+
+namespace beast = boost::beast;
+using runtime::asio::redirect_error;
+using runtime::asio::use_awaitable;
+using runtime::error_code;
+using runtime::Task;
+using runtime::tcp;
+
+// A connection on which nothing is asked for this long is closed.
+constexpr Duration IdleLimit = std::chrono::seconds(30);
+
+Task<bool> serveOne(tcp::socket &Socket, beast::flat_buffer &Buffer,
+                    const Handler &Answer) {
+  const runtime::Watchdog Guard(Socket, IdleLimit);
+  error_code Error;
+  beast::http::request<beast::http::string_body> Message;
+  co_await beast::http::async_read(Socket, Buffer, Message,
+                                   redirect_error(use_awaitable, Error));
+  if (Error)
+    co_return false;
+  Request Call;
+  Call.Method = std::string(Message.method_string());
+  Call.Target = std::string(Message.target());
+  Response Result = Answer(Call);
+  beast::http::response<beast::http::string_body> Reply;
+  Reply.version(Message.version());
+  Reply.result(Result.Status);
+  Reply.set(beast::http::field::content_type, Result.ContentType);
+  Reply.body() = std::move(Result.Body);
+  Reply.keep_alive(Message.keep_alive());
+  Reply.prepare_payload();
+  co_await beast::http::async_write(Socket, Reply,
+                                    redirect_error(use_awaitable, Error));
+  co_return !Error &&Message.keep_alive();
+}
+
+Task<void> serveConnection(tcp::socket Socket, const Handler &Answer) {
+  runtime::setUsualOptions(Socket);
+  beast::flat_buffer Buffer;
+  while (co_await serveOne(Socket, Buffer, Answer)) {
+  }
+}
+
+Task<void> accept(runtime::asio::io_context &Io, tcp::acceptor Acceptor,
+                  Handler Answer) {
+  for (;;) {
+    error_code Error;
+    tcp::socket Socket = co_await Acceptor.async_accept(
+        redirect_error(use_awaitable, Error));
+    if (Error)
+      co_await runtime::sleepFor(std::chrono::milliseconds(10));
+    else
+      runtime::spawn(Io, serveConnection(std::move(Socket), Answer));
+  }
+}
+
+} // namespace
+
+Expected<void> serve(runtime::asio::io_context &Io, tcp::endpoint Address,
+                     Handler Answer) {
+  tcp::acceptor Acceptor(Io);
+  error_code Error;
+  Acceptor.open(tcp::v4(), Error);
+  if (!Error)
+    Acceptor.set_option(tcp::acceptor::reuse_address(true), Error);
+  if (!Error)
+    Acceptor.bind(Address, Error);
+  if (!Error)
+    Acceptor.listen(runtime::asio::socket_base::max_listen_connections, Error);
+  if (Error)
+    return Failure{FailureKind::Unavailable,
+                   "cannot listen on " + Address.address().to_string() + ":" +
+                       std::to_string(Address.port()) + ": " + Error.message()};
+  runtime::spawn(Io, accept(Io, std::move(Acceptor), std::move(Answer)));
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+} // namespace borageridge::http
--- /dev/null
+++ b/src/keyvalue/StoreClient.cpp
@@ -0,0 +1,133 @@
+#include "keyvalue/StoreClient.h"
+
+#include "platform/StoreApi.h"
+#include "runtime/Clock.h"
+
+#include <utility>
+
+namespace borageridge::keyvalue {
+namespace {
+
+using runtime::Task;
+
+// Usual answers take milliseconds; a slow store needs some hundred.
+constexpr Duration CallLimit = std::chrono::milliseconds(1200);
+// A watch answers this much later than its wait at most.
+constexpr Duration WatchSlack = std::chrono::milliseconds(1000);
+// After a failure the store is asked through other daemons for this long.
+constexpr Duration AvoidDirect = std::chrono::milliseconds(1000);
+// Longer than the longest wait of a watch.
+constexpr Duration ReachedLifetime = std::chrono::milliseconds(3000);
+
+bool isRefusal(const http::Response &Answer) {
+  return Answer.Status == 503 || Answer.Status == 429;
+}
+
+std::uint64_t milliseconds(Duration D) {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(D).count());
+}
+
+} // namespace
+
+StoreClient::StoreClient(runtime::asio::io_context &Io,
+                         runtime::tcp::endpoint Server)
+    : Direct(Io, Server) {}
+
+bool StoreClient::isReached(Time Now) const {
+  return LastSuccess != Time() && Now - LastSuccess < ReachedLifetime &&
+         Now >= AvoidDirectUntil;
+}
+
+Task<Expected<http::Response>> StoreClient::callDirectly(http::Request Call,
+                                                         Duration Limit) {
+  ++Calls;
+  Expected<http::Response> Answer =
+      co_await Direct.call(std::move(Call), Limit);
+  const Time Now = runtime::bootTime();
+  if (Answer && !isRefusal(Answer.value())) {
+    LastSuccess = Now;
+    AvoidDirectUntil = Time();
+  } else {
+    AvoidDirectUntil = Now + AvoidDirect;
+    Direct.dropConnections();
+  }
+  co_return Answer;
+}
+
+// A call is sent once on one way: a change whose answer was lost must not be
+// repeated without knowing whether it took effect.
+Task<Expected<http::Response>> StoreClient::call(http::Request Call,
+                                                 Duration Limit) {
+  if (Through && runtime::bootTime() < AvoidDirectUntil) {
+    Expected<http::Response> Answer = co_await Through(Call, Limit);
+    if (Answer || Answer.error().Kind == FailureKind::Unknown)
+      co_return Answer;
+  }
+  co_return co_await callDirectly(std::move(Call), Limit);
+}
+
+Task<Expected<RangePage>> StoreClient::range(std::string Prefix) {
+  RangePage Whole;
+  std::string After;
+  for (;;) {
+    Expected<http::Response> Answer =
+        co_await call(platform::rangeCall(Prefix, After), CallLimit);
+    if (!Answer)
+      co_return std::move(Answer).error();
+    Expected<RangePage> Page = platform::decodeRange(Answer.value());
+    if (!Page)
+      co_return std::move(Page).error();
+    if (After.empty())
+      Whole.StoreRevision = Page.value().StoreRevision;
+    for (Item &Read : Page.value().Items)
+      Whole.Items.push_back(std::move(Read));
+    if (!Page.value().HasMore || Whole.Items.empty())
+      co_return Whole;
+    After = Whole.Items.back().Key;
+  }
+}
+
+Task<Expected<WatchResult>> StoreClient::watch(std::string Prefix,
+                                               Revision After, Duration Wait) {
+  Expected<http::Response> Answer =
+      co_await call(platform::watchCall(Prefix, After, milliseconds(Wait)),
+                    Wait + WatchSlack);
+  if (!Answer)
+    co_return std::move(Answer).error();
+  co_return platform::decodeWatch(Answer.value());
+}
+
+Task<Expected<Revision>> StoreClient::commit(Transaction Change) {
+  Expected<http::Response> Answer =
+      co_await call(platform::transactionCall(Change), CallLimit);
+  if (!Answer)
+    co_return std::move(Answer).error();
+  co_return platform::decodeTransaction(Answer.value());
+}
+
+Task<Expected<LeaseGrant>> StoreClient::grant(Duration Ttl) {
+  Expected<http::Response> Answer =
+      co_await call(platform::leaseCall(milliseconds(Ttl)), CallLimit);
+  if (!Answer)
+    co_return std::move(Answer).error();
+  co_return platform::decodeLease(Answer.value());
+}
+
+Task<Expected<void>> StoreClient::renew(LeaseId Id) {
+  Expected<http::Response> Answer =
+      co_await call(platform::renewCall(Id), CallLimit);
+  if (!Answer)
+    co_return std::move(Answer).error();
+  co_return platform::decodeRenewal(Answer.value());
+}
+
+Task<Expected<void>> StoreClient::endLease(LeaseId Id) {
+  Expected<http::Response> Answer =
+      co_await call(platform::endLeaseCall(Id), CallLimit);
+  if (!Answer)
+    co_return std::move(Answer).error();
+  co_return platform::decodeRenewal(Answer.value());
+}
+
+} // namespace borageridge::keyvalue
--- /dev/null
+++ b/src/pool/ConnectionBudget.h
@@ -0,0 +1,42 @@
+#ifndef BORAGERIDGE_POOL_CONNECTIONBUDGET_H
+#define BORAGERIDGE_POOL_CONNECTIONBUDGET_H
+
+#include "borageridge/Types.h"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace borageridge::pool {
+
+/// How many connections one daemon may hold to one member. Every daemon has a
+/// share; what the shares leave, and a part of what others do not use, may be
+/// borrowed for a short time while the member does not refuse.
+class ConnectionBudget {
+public:
+  /// A borrowed connection that is idle for longer is closed.
+  static constexpr Duration BorrowedIdle = std::chrono::milliseconds(500);
+
+  /// The member refused a connection because it has too many.
+  void refused(Time Now);
+  /// Opening failed for another reason.
+  void failed(Time Now);
+  void succeeded();
+
+  /// Whether another connection may be opened.
+  bool mayOpen(std::uint32_t Held, std::uint32_t Share, Time Now) const;
+  /// Whether an idle connection is to be closed.
+  bool isSurplus(std::uint32_t Held, std::uint32_t Share,
+                 Duration IdleFor) const;
+
+private:
+  Time NotBefore;
+  Time NoBorrowingBefore;
+};
+
+/// The connections that each daemon may hold at any time.
+std::uint32_t connectionShare(std::uint32_t MaxConnections,
+                              std::size_t LiveDaemons);
+
+} // namespace borageridge::pool
+
+#endif // BORAGERIDGE_POOL_CONNECTIONBUDGET_H
--- /dev/null
+++ b/src/runtime/Clock.cpp
@@ -0,0 +1,16 @@
+#include "runtime/Clock.h"
+
+#include <ctime>
+
+namespace borageridge::runtime {
+
+// The steady clock of the C++ library stands still while a machine is
+// suspended; a lease counted on it would live too long.
+Time bootTime() {
+  timespec Now{};
+  clock_gettime(CLOCK_BOOTTIME, &Now);
+  return Time(std::chrono::seconds(Now.tv_sec) +
+              std::chrono::nanoseconds(Now.tv_nsec));
+}
+
+} // namespace borageridge::runtime
--- a/src/telemetry/Events.cpp
+++ b/src/telemetry/Events.cpp
@@ -1,20 +1,6 @@
 #include "telemetry/Events.h"
 
 namespace borageridge::telemetry {
-namespace {
-
-template <typename... Fields>
-EventDescription describe(const EventType<Fields...> &Event) {
-  return {Event.Name, Event.Level, {Event.Keys.begin(), Event.Keys.end()}};
-}
-
-template <typename... Events>
-std::vector<EventDescription> describeAll(const Events &...Each) {
-  return {describe(Each)...};
-}
-
-} // namespace
-
 std::vector<EventDescription> allEvents() {
   using namespace event;
   return describeAll(
--- a/src/telemetry/Events.h
+++ b/src/telemetry/Events.h
@@ -119,6 +119,12 @@
   std::vector<std::string_view> Keys;
 };
 
+template <typename... Events>
+std::vector<EventDescription> describeAll(const Events &...Each) {
+  return {EventDescription{
+      Each.Name, Each.Level, {Each.Keys.begin(), Each.Keys.end()}}...};
+}
+
 /// Every event above, in the same order.
 std::vector<EventDescription> allEvents();
 
