--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -129,8 +129,8 @@
                             {Entry.value("sample_term", Term(0)),
                              Entry.value("sample_index", LogIndex(0))});
   }
-  for (const auto &[Member, Count] :
-       News.value("in_flight", Message::object()).items())
+  const Message InFlight = News.value("in_flight", Message::object());
+  for (const auto &[Member, Count] : InFlight.items())
     Report.InFlight[Member] = Count.get<std::uint32_t>();
   From.Last = std::move(Report);
 }
