Relay repeatable store calls at once; close idle connections

After a loss of power the members still hold 18 of 22 connections of before for 3 s. Change: repeatable calls go through a peer as soon as the direct one failed; idle connections beyond one a member are closed after 1.5 s.

--- a/src/keyvalue/StoreClient.cpp
+++ b/src/keyvalue/StoreClient.cpp
@@ -11,11 +11,12 @@
 using runtime::Task;
 
 // Usual answers take milliseconds; a slow store needs some hundred.
-constexpr Duration CallLimit = std::chrono::milliseconds(1200);
+constexpr Duration CallLimit = std::chrono::milliseconds(800);
 // A watch answers this much later than its wait at most.
 constexpr Duration WatchSlack = std::chrono::milliseconds(1000);
-// After a failure the store is asked through other daemons for this long.
-constexpr Duration AvoidDirect = std::chrono::milliseconds(1000);
+// After a failure the store is asked through other daemons for this long; then
+// one call finds out whether it serves this daemon again.
+constexpr Duration AvoidDirect = std::chrono::milliseconds(3000);
 // Longer than the longest wait of a watch.
 constexpr Duration ReachedLifetime = std::chrono::milliseconds(3000);
 
@@ -55,16 +56,25 @@
   co_return Answer;
 }
 
-// A call is sent once on one way: a change whose answer was lost must not be
-// repeated without knowing whether it took effect.
-Task<Expected<http::Response>> StoreClient::call(http::Request Call,
-                                                 Duration Limit) {
-  if (Through && runtime::bootTime() < AvoidDirectUntil) {
+// A call that may be repeated is sent through another daemon as soon as the
+// direct one has failed. A change is sent once on one way: if its answer is
+// lost, it must be known whether it took effect before it is sent again.
+Task<Expected<http::Response>>
+StoreClient::call(http::Request Call, Duration Limit, bool Repeatable) {
+  const bool Avoid = runtime::bootTime() < AvoidDirectUntil;
+  if (Through && Avoid) {
     Expected<http::Response> Answer = co_await Through(Call, Limit);
-    if (Answer || Answer.error().Kind == FailureKind::Unknown)
+    const bool Settled = Answer ? !isRefusal(Answer.value())
+                                : Answer.error().Kind == FailureKind::Unknown;
+    if (Settled)
       co_return Answer;
+    co_return co_await callDirectly(std::move(Call), Limit);
   }
-  co_return co_await callDirectly(std::move(Call), Limit);
+  Expected<http::Response> Answer = co_await callDirectly(Call, Limit);
+  const bool Failed = !Answer || isRefusal(Answer.value());
+  if (!Through || !Failed || !Repeatable)
+    co_return Answer;
+  co_return co_await Through(std::move(Call), Limit);
 }
 
 Task<Expected<RangePage>> StoreClient::range(std::string Prefix) {
@@ -72,7 +82,7 @@
   std::string After;
   for (;;) {
     Expected<http::Response> Answer =
-        co_await call(platform::rangeCall(Prefix, After), CallLimit);
+        co_await call(platform::rangeCall(Prefix, After), CallLimit, true);
     if (!Answer)
       co_return std::move(Answer).error();
     Expected<RangePage> Page = platform::decodeRange(Answer.value());
@@ -92,7 +102,7 @@
                                                Revision After, Duration Wait) {
   Expected<http::Response> Answer =
       co_await call(platform::watchCall(Prefix, After, milliseconds(Wait)),
-                    Wait + WatchSlack);
+                    Wait + WatchSlack, true);
   if (!Answer)
     co_return std::move(Answer).error();
   co_return platform::decodeWatch(Answer.value());
@@ -100,7 +110,7 @@
 
 Task<Expected<Revision>> StoreClient::commit(Transaction Change) {
   Expected<http::Response> Answer =
-      co_await call(platform::transactionCall(Change), CallLimit);
+      co_await call(platform::transactionCall(Change), CallLimit, false);
   if (!Answer)
     co_return std::move(Answer).error();
   co_return platform::decodeTransaction(Answer.value());
@@ -108,7 +118,7 @@
 
 Task<Expected<LeaseGrant>> StoreClient::grant(Duration Ttl) {
   Expected<http::Response> Answer =
-      co_await call(platform::leaseCall(milliseconds(Ttl)), CallLimit);
+      co_await call(platform::leaseCall(milliseconds(Ttl)), CallLimit, true);
   if (!Answer)
     co_return std::move(Answer).error();
   co_return platform::decodeLease(Answer.value());
@@ -116,7 +126,7 @@
 
 Task<Expected<void>> StoreClient::renew(LeaseId Id) {
   Expected<http::Response> Answer =
-      co_await call(platform::renewCall(Id), CallLimit);
+      co_await call(platform::renewCall(Id), CallLimit, true);
   if (!Answer)
     co_return std::move(Answer).error();
   co_return platform::decodeRenewal(Answer.value());
@@ -124,7 +134,7 @@
 
 Task<Expected<void>> StoreClient::endLease(LeaseId Id) {
   Expected<http::Response> Answer =
-      co_await call(platform::endLeaseCall(Id), CallLimit);
+      co_await call(platform::endLeaseCall(Id), CallLimit, true);
   if (!Answer)
     co_return std::move(Answer).error();
   co_return platform::decodeRenewal(Answer.value());
--- a/src/pool/ConnectionBudget.cpp
+++ b/src/pool/ConnectionBudget.cpp
@@ -48,7 +48,9 @@
 
 bool ConnectionBudget::isSurplus(std::uint32_t Held, std::uint32_t Share,
                                  Duration IdleFor) const {
-  return Held > Share && IdleFor > BorrowedIdle;
+  if (Held > Share)
+    return IdleFor > BorrowedIdle;
+  return Held > 1 && IdleFor > ShareIdle;
 }
 
 } // namespace borageridge::pool
--- a/src/pool/ConnectionBudget.h
+++ b/src/pool/ConnectionBudget.h
@@ -15,6 +15,10 @@
 public:
   /// A borrowed connection that is idle for longer is closed.
   static constexpr Duration BorrowedIdle = std::chrono::milliseconds(500);
+  /// So is one of the share, but for the last: connections that nobody needs
+  /// are missing to daemons that start after a loss of power, while the members
+  /// still hold those of before.
+  static constexpr Duration ShareIdle = std::chrono::milliseconds(1500);
 
   /// The member refused a connection because it has too many.
   void refused(Time Now);
--- a/src/pool/ConnectionBudgetTest.cpp
+++ b/src/pool/ConnectionBudgetTest.cpp
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(aFullMemberEndsBorrowing);
   CPPUNIT_TEST(aFullMemberIsAskedAgainForTheShare);
   CPPUNIT_TEST(borrowedConnectionsAreReturnedWhenIdle);
+  CPPUNIT_TEST(connectionsThatNobodyNeedsAreClosedButForOne);
   CPPUNIT_TEST_SUITE_END();
 
   const Time Start = Time(std::chrono::seconds(100));
@@ -54,10 +55,15 @@
   }
 
   void borrowedConnectionsAreReturnedWhenIdle() {
-    CPPUNIT_ASSERT(!Subject.isSurplus(3, 3, std::chrono::hours(1)));
+    CPPUNIT_ASSERT(!Subject.isSurplus(3, 3, milliseconds(600)));
     CPPUNIT_ASSERT(!Subject.isSurplus(4, 3, milliseconds(100)));
     CPPUNIT_ASSERT(Subject.isSurplus(4, 3, milliseconds(600)));
   }
+
+  void connectionsThatNobodyNeedsAreClosedButForOne() {
+    CPPUNIT_ASSERT(Subject.isSurplus(2, 3, milliseconds(1600)));
+    CPPUNIT_ASSERT(!Subject.isSurplus(1, 3, std::chrono::hours(1)));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ConnectionBudgetTest);
