Refuse statements that can no longer meet their objective while members are busy

Change: a statement waits until it cannot meet its latency objective any more while members are busy, and until its route's time-out while no member may run it.

--- a/src/admission/AdmissionQueue.h
+++ b/src/admission/AdmissionQueue.h
@@ -85,6 +85,9 @@
   /// Takes a queued ticket out, for example after its caller went away.
   std::optional<Ticket> remove(TicketId Id);
 
+  /// Whether the ticket is queued.
+  bool contains(TicketId Id) const { return Entries.contains(Id); }
+
   /// Ends a running request. Ignores ids that are not running.
   void finish(TicketId Id);
 
--- a/src/entry/Executor.cpp
+++ b/src/entry/Executor.cpp
@@ -32,6 +32,9 @@
 // An answer that does not come within this part of the latency objective is
 // taken for lost if the statement can be repeated.
 constexpr int LostAnswerDivisor = 2;
+// However slow the members are, a statement waits for this part of its latency
+// objective.
+constexpr int MinWaitDivisor = 3;
 constexpr Duration MinAttempt = std::chrono::milliseconds(60);
 // Rolling back takes no work at the endpoint.
 constexpr Duration RollbackLimit = std::chrono::milliseconds(400);
@@ -50,6 +53,14 @@
                                   MinAttempt, UsualLatency}));
 }
 
+// A statement that is not placed by then cannot be answered within the latency
+// objective any more.
+Time latestPlacing(const catalog::Route &Route, Duration UsualLatency,
+                   Time Arrival) {
+  return Arrival + std::max(Route.TargetLatency - UsualLatency,
+                            Route.TargetLatency / MinWaitDivisor);
+}
+
 std::string_view describe(const Attempt &Result) {
   if (Result)
     return Result.value().Error ? statement::name(*Result.value().Error)
@@ -325,8 +336,9 @@
   const Time Deadline = Arrival + Route.Timeout;
   Demand D = demandFor(S, Route, Writes, Arrival);
   for (unsigned Count = 1;; ++Count) {
-    Expected<Checkout, pool::Refusal> Place =
-        co_await Pool->acquire(D, S.Database, Route.Priority, Deadline);
+    Expected<Checkout, pool::Refusal> Place = co_await Pool->acquire(
+        D, S.Database, Route.Priority,
+        latestPlacing(Route, Pool->usualLatency(), Arrival), Deadline);
     if (!Place)
       co_return refuse(St, S.Database, ErrorCode::Busy, name(Place.error()), "",
                        None, Arrival);
@@ -403,8 +415,9 @@
   std::string_view Reason = "service has no members";
   std::string Member;
   for (unsigned Count = 1; Pool != nullptr && Count <= MaxAttempts; ++Count) {
-    Expected<Checkout, pool::Refusal> Place =
-        co_await Pool->acquire(D, S.Database, Route.Priority, Deadline);
+    Expected<Checkout, pool::Refusal> Place = co_await Pool->acquire(
+        D, S.Database, Route.Priority,
+        latestPlacing(Route, Pool->usualLatency(), Arrival), Deadline);
     if (!Place) {
       Reason = name(Place.error());
       Result = Loss::NotSent;
--- a/src/pool/ServicePool.cpp
+++ b/src/pool/ServicePool.cpp
@@ -298,7 +298,7 @@
 
 Task<Expected<Checkout, Refusal>>
 ServicePool::acquire(Demand D, std::string_view Database,
-                     std::uint32_t Priority, Time Deadline) {
+                     std::uint32_t Priority, Time GiveUp, Time Deadline) {
   const Time Now = bootTime();
   if (Queue.size() == 0)
     if (std::optional<Checkout> Free = tryPlace(D, Now))
@@ -323,18 +323,29 @@
       Found->second->Ready.notify();
   wake(Now);
   if (!Self.Given)
-    co_await Self.Ready.wait(Deadline - Now);
+    co_await Self.Ready.wait(GiveUp - Now);
+  // What is late because all members are busy makes room for what can still be
+  // in time; what waits for a member to come back is worth waiting for.
+  if (!Self.Given && !hasUsableMember(Self.D, bootTime()) && Queue.contains(Id))
+    co_await Self.Ready.wait(Deadline - bootTime());
   Waiters.erase(Id);
   Queue.remove(Id);
   if (Self.Given)
     co_return std::move(*Self.Given);
   const Time Later = bootTime();
-  if (Later < Deadline)
+  if (Later < GiveUp)
     co_return Refusal::QueueFull;
   co_return Self.D.NeedsPrimary && !mayUsePrimary(Later) ? Refusal::NoPrimary
                                                          : Refusal::WaitTooLong;
 }
 
+bool ServicePool::hasUsableMember(const Demand &D, Time Now) const {
+  for (const auto &[Id, M] : Members)
+    if (isUsable(M, Now) && (isPrimary(M) || !D.NeedsPrimary))
+      return true;
+  return false;
+}
+
 // Hands free connections to waiting statements in the order of the queue.
 void ServicePool::wake(Time Now) {
   if (Waking || Queue.size() == 0)
--- a/src/pool/ServicePool.h
+++ b/src/pool/ServicePool.h
@@ -82,11 +82,11 @@
   /// callers.
   bool mayAcknowledge(std::uint64_t Epoch, Time Now) const;
 
-  /// Waits for a connection.
-  runtime::Task<Expected<Checkout, Refusal>> acquire(Demand D,
-                                                     std::string_view Database,
-                                                     std::uint32_t Priority,
-                                                     Time Deadline);
+  /// Waits for a connection: until GiveUp while members could run the
+  /// statement and are busy, until Deadline while none may.
+  runtime::Task<Expected<Checkout, Refusal>>
+  acquire(Demand D, std::string_view Database, std::uint32_t Priority,
+          Time GiveUp, Time Deadline);
   /// Gives a connection back; a closed one is replaced on demand.
   void release(const Checkout &Used);
 
@@ -154,6 +154,7 @@
   std::uint32_t connectionLimit() const;
   MemberLoad loadOf(MemberState &M, const Demand &D, Time Now) const;
   std::optional<Checkout> tryPlace(const Demand &D, Time Now);
+  bool hasUsableMember(const Demand &D, Time Now) const;
   std::optional<Checkout> checkOut(MemberState &M, const Place &Chosen);
   Connection takeIdle(MemberState &M);
   void openConnection(const std::string &Member);
