Count only reports about the present primary; replace a lost lease at once

A daemon whose lease had ended waited 1.2 s before it registered anew. Change: each report names its member; registration follows at once. The test reportsAboutThePredecessorDoNotCount fails without it.

--- a/src/change/ChangePolicy.cpp
+++ b/src/change/ChangePolicy.cpp
@@ -74,20 +74,22 @@
   return "none";
 }
 
-std::size_t confirmations(Reports About) {
-  return static_cast<std::size_t>(std::count_if(
-      About.begin(), About.end(),
-      [](const std::optional<pool::Evidence> &Seen) {
-        return Seen && Seen->Lasted >= (Seen->Refused ? RefusedConfirmation
-                                                      : SilentConfirmation);
-      }));
+std::size_t confirmations(Reports About, std::string_view Primary) {
+  const auto Confirms = [&](const PrimaryReport &Report) {
+    return Report.Member == Primary && Report.Seen &&
+           Report.Seen->Lasted >= (Report.Seen->Refused ? RefusedConfirmation
+                                                        : SilentConfirmation);
+  };
+  return static_cast<std::size_t>(
+      std::count_if(About.begin(), About.end(), Confirms));
 }
 
-bool isUnreachable(Reports About, std::size_t LiveDaemons) {
+bool isUnreachable(Reports About, std::string_view Primary,
+                   std::size_t LiveDaemons) {
   const std::size_t Part = (LiveDaemons * ConfirmingPercent + 99) / 100;
   const std::size_t Needed =
       std::min(LiveDaemons, std::max(MinConfirming, Part));
-  return confirmations(About) >= std::max<std::size_t>(1, Needed);
+  return confirmations(About, Primary) >= std::max<std::size_t>(1, Needed);
 }
 
 Cause changeCause(const Situation &Known, Time Now) {
@@ -98,7 +100,7 @@
   const catalog::Member *Primary = find(Known.Members, Known.Record.Primary);
   if (!hasSuccessor(Known.Members, Known.Record.Primary))
     return Cause::None;
-  if (isUnreachable(Known.About, Known.LiveDaemons))
+  if (isUnreachable(Known.About, Known.Record.Primary, Known.LiveDaemons))
     return Cause::Unreachable;
   if (Primary == nullptr)
     return lasted(Known.GoneSince, GoneConfirmation, Now) ? Cause::Gone
--- a/src/change/ChangePolicy.h
+++ b/src/change/ChangePolicy.h
@@ -32,17 +32,23 @@
 };
 std::string_view name(Cause Why);
 
-/// Evidence of the live daemons about the primary, one entry a daemon that
-/// reported; none if the primary answers it.
-using Reports = std::span<const std::optional<pool::Evidence>>;
+/// What one daemon has seen of the member that it knows as the primary.
+struct PrimaryReport {
+  std::string Member;
+  /// None if the member answers it.
+  std::optional<pool::Evidence> Seen;
+};
+using Reports = std::span<const PrimaryReport>;
 
-/// Number of reports that show the primary unreachable.
-std::size_t confirmations(Reports About);
+/// Number of reports that show the primary unreachable. Reports about another
+/// member, for example its predecessor, do not count.
+std::size_t confirmations(Reports About, std::string_view Primary);
 
 /// Whether the primary counts as unreachable. LiveDaemons: all that hold a
 /// lease, whether they reported or not; a daemon that is alone in losing the
 /// primary decides nothing.
-bool isUnreachable(Reports About, std::size_t LiveDaemons);
+bool isUnreachable(Reports About, std::string_view Primary,
+                   std::size_t LiveDaemons);
 
 /// What is known of one service.
 struct Situation {
--- a/src/change/ChangePolicyTest.cpp
+++ b/src/change/ChangePolicyTest.cpp
@@ -12,10 +12,10 @@
 using pool::Evidence;
 using std::chrono::milliseconds;
 
-using ReportList = std::vector<std::optional<Evidence>>;
+using ReportList = std::vector<PrimaryReport>;
 
-const Evidence Silent{false, milliseconds(700)};
-const Evidence Refused{true, milliseconds(200)};
+const PrimaryReport Silent{"a", Evidence{false, milliseconds(700)}};
+const PrimaryReport Refused{"a", Evidence{true, milliseconds(200)}};
 const Time Now = Time(std::chrono::seconds(100));
 
 catalog::Member member(const std::string &Id, bool Leaving = false) {
@@ -41,6 +41,7 @@
   CPPUNIT_TEST(aPartOfTheDaemonsIsEnough);
   CPPUNIT_TEST(daemonsThatDoNotReportCountAsReachingIt);
   CPPUNIT_TEST(theOnlyDaemonDecidesAlone);
+  CPPUNIT_TEST(reportsAboutThePredecessorDoNotCount);
   CPPUNIT_TEST(briefSilenceIsNoEvidence);
   CPPUNIT_TEST(aCalmServiceNeedsNoChange);
   CPPUNIT_TEST(aLeavingPrimaryIsReplaced);
@@ -58,7 +59,7 @@
 
   std::vector<catalog::Member> Members = {member("a"), member("b"),
                                           member("c")};
-  ReportList About = ReportList(6);
+  ReportList About = ReportList(6, PrimaryReport{"a", std::nullopt});
 
   Situation situation() {
     Situation Known;
@@ -73,30 +74,38 @@
 
   void oneDaemonAloneDecidesNothing() {
     About[0] = Silent;
-    CPPUNIT_ASSERT(!isUnreachable(About, 6));
+    CPPUNIT_ASSERT(!isUnreachable(About, "a", 6));
   }
 
   void aPartOfTheDaemonsIsEnough() {
     About[0] = Silent;
     About[1] = Refused;
-    CPPUNIT_ASSERT(isUnreachable(About, 6));
-    CPPUNIT_ASSERT(!isUnreachable(About, 7));
+    CPPUNIT_ASSERT(isUnreachable(About, "a", 6));
+    CPPUNIT_ASSERT(!isUnreachable(About, "a", 7));
   }
 
   void daemonsThatDoNotReportCountAsReachingIt() {
     const ReportList Own = {Silent};
-    CPPUNIT_ASSERT(!isUnreachable(Own, 6));
+    CPPUNIT_ASSERT(!isUnreachable(Own, "a", 6));
   }
 
   void theOnlyDaemonDecidesAlone() {
     const ReportList Own = {Silent};
-    CPPUNIT_ASSERT(isUnreachable(Own, 1));
+    CPPUNIT_ASSERT(isUnreachable(Own, "a", 1));
+  }
+
+  // After a change, peers tell of the former primary until they know the new.
+  void reportsAboutThePredecessorDoNotCount() {
+    const ReportList Old(6, Silent);
+    CPPUNIT_ASSERT(isUnreachable(Old, "a", 6));
+    CPPUNIT_ASSERT(!isUnreachable(Old, "b", 6));
   }
 
   void briefSilenceIsNoEvidence() {
-    const ReportList Brief(6, Evidence{false, milliseconds(500)});
-    CPPUNIT_ASSERT(!isUnreachable(Brief, 6));
-    CPPUNIT_ASSERT_EQUAL(std::size_t(0), confirmations(Brief));
+    const ReportList Brief(
+        6, PrimaryReport{"a", Evidence{false, milliseconds(500)}});
+    CPPUNIT_ASSERT(!isUnreachable(Brief, "a", 6));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), confirmations(Brief, "a"));
   }
 
   void aCalmServiceNeedsNoChange() {
--- a/src/entry/Coordinator.cpp
+++ b/src/entry/Coordinator.cpp
@@ -136,13 +136,13 @@
   co_await S.Store.endLease(Id);
 }
 
-change::Cause
-Coordinator::causeOf(const std::string &Service, pool::ServicePool &Pool,
-                     std::vector<std::optional<pool::Evidence>> &About,
-                     Time Now) {
+change::Cause Coordinator::causeOf(const std::string &Service,
+                                   pool::ServicePool &Pool,
+                                   std::vector<change::PrimaryReport> &About,
+                                   Time Now) {
   const GroupRecord &Record = Pool.record();
   const std::vector<catalog::Member> Members = Pool.members();
-  About.push_back(Pool.evidence(Record.Primary, Now));
+  About.push_back({Record.Primary, Pool.evidence(Record.Primary, Now)});
   for (const auto &[Name, Other] : S.Peers) {
     const auto Seen = Other.Last.About.find(Service);
     if (Now - Other.Last.Received < ReportLifetime &&
@@ -175,12 +175,13 @@
   for (const auto &[Service, Pool] : S.ByService) {
     if (Running.contains(Service))
       continue;
-    std::vector<std::optional<pool::Evidence>> About;
+    std::vector<change::PrimaryReport> About;
     const Cause Why = causeOf(Service, *Pool, About, Now);
     if (Why == Cause::None)
       continue;
     S.Log.write(event::ChangeStarted, Service, change::name(Why),
-                change::confirmations(About), S.Daemons.size());
+                change::confirmations(About, Pool->record().Primary),
+                S.Daemons.size());
     S.Metrics.addChange(change::name(Why));
     Running.insert(Service);
     runtime::spawn(S.Io, handle(Service, Why));
--- a/src/entry/Coordinator.h
+++ b/src/entry/Coordinator.h
@@ -32,8 +32,7 @@
   runtime::Task<void> renew();
   void evaluate(Time Now);
   change::Cause causeOf(const std::string &Service, pool::ServicePool &Pool,
-                        std::vector<std::optional<pool::Evidence>> &About,
-                        Time Now);
+                        std::vector<change::PrimaryReport> &About, Time Now);
   runtime::Task<void> handle(std::string Service, change::Cause Why);
   runtime::Task<bool> createRecord(std::string Service);
   runtime::Task<bool> confirmRestarted(std::string Service);
--- a/src/entry/Daemon.cpp
+++ b/src/entry/Daemon.cpp
@@ -23,6 +23,7 @@
 constexpr Duration StopStep = std::chrono::milliseconds(50);
 // Time to end what is left before the process is killed.
 constexpr Duration StopReserve = std::chrono::milliseconds(700);
+constexpr Duration ReleaseWait = std::chrono::milliseconds(100);
 // The change of primary of a leaving member takes up to two seconds.
 constexpr Duration LeavingReserve = std::chrono::milliseconds(1500);
 
@@ -196,7 +197,10 @@
     closeCallers(Passed);
     co_await runtime::sleepFor(StopStep);
   }
-  co_await Lease.release();
+  // Others need not wait for the end of the lease; the process does not wait
+  // for the store either.
+  runtime::spawn(Io, Lease.release());
+  co_await runtime::sleepFor(ReleaseWait);
   Log.write(event::Stopped, Callers.size(), milliseconds(bootTime() - Start));
   Io.stop();
 }
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -113,9 +113,10 @@
   for (const Message &Entry : News.value("groups", Message::array())) {
     followRecord(S, Entry);
     const std::string Service = Entry.value("service", "");
-    std::optional<pool::Evidence> &Seen = Report.About[Service];
+    change::PrimaryReport &About = Report.About[Service];
+    About.Member = Entry.value("primary", "");
     if (Entry.contains("silent_us"))
-      Seen = pool::Evidence{
+      About.Seen = pool::Evidence{
           Entry.value("refused", false),
           std::chrono::microseconds(Entry.value("silent_us", 0LL))};
     const auto Pool = S.ByService.find(Service);
@@ -161,6 +162,7 @@
   for (const auto &[Service, Pool] : S.ByService) {
     const cluster::GroupRecord &Record = Pool->record();
     Message Entry = encodeRecord(Service, Record);
+    Entry["primary"] = Record.Primary;
     if (const auto Seen = Pool->evidence(Record.Primary, Now)) {
       Entry["silent_us"] = microseconds(Seen->Lasted);
       Entry["refused"] = Seen->Refused;
--- a/src/entry/Registration.cpp
+++ b/src/entry/Registration.cpp
@@ -24,6 +24,9 @@
       Done = co_await registerAnew();
     else
       co_await renew();
+    // An ended lease is replaced at once.
+    if (Done && S.Lease.id() == 0)
+      continue;
     co_await runtime::sleepFor(Done ? RenewInterval : FailurePause);
   }
 }
--- a/src/entry/State.h
+++ b/src/entry/State.h
@@ -3,6 +3,7 @@
 
 #include "boot/DaemonSettings.h"
 #include "catalog/Catalog.h"
+#include "change/ChangePolicy.h"
 #include "cluster/Records.h"
 #include "cluster/UseLease.h"
 #include "entry/EntryMetrics.h"
@@ -23,8 +24,8 @@
 /// What another daemon last told.
 struct PeerReport {
   Time Received;
-  /// By service: evidence about its primary; none if it answers.
-  std::map<std::string, std::optional<pool::Evidence>> About;
+  /// By service: what it has seen of the primary that it knows.
+  std::map<std::string, change::PrimaryReport> About;
   /// Statements in work by member.
   std::map<std::string, std::uint32_t> InFlight;
   bool ReachesStore = false;
