--- a/src/change/ChangePolicyTest.cpp
+++ b/src/change/ChangePolicyTest.cpp
@@ -190,6 +190,7 @@
         All.push_back(report(std::string(1, static_cast<char>('b' + I)),
                              *rc::gen::inRange<LogIndex>(0, 50)));
       std::vector<LogIndex> Sorted;
+      Sorted.reserve(All.size());
       for (const MemberReport &R : All)
         Sorted.push_back(R.Received.Index);
       std::sort(Sorted.rbegin(), Sorted.rend());
--- a/src/entry/Events.h
+++ b/src/entry/Events.h
@@ -83,11 +83,12 @@
     "use_relinquished", LogLevel::Info, {"service", "epoch"}};
 
 // Requests.
-inline constexpr EventType<Text, Text, Text, Text, Text, Number, Number>
+inline constexpr EventType<Text, Text, Text, Text, Text, Text, Number, Number,
+                           Number>
     RequestRefused{"request_refused",
                    LogLevel::Warning,
-                   {"request", "database", "error", "reason", "member",
-                    "waited_ms", "epoch"}};
+                   {"request", "database", "service", "error", "reason",
+                    "member", "waited_ms", "config_version", "epoch"}};
 inline constexpr EventType<Text, Text, Text, Number> RequestRetried{
     "request_retried",
     LogLevel::Info,
--- a/src/entry/Executor.cpp
+++ b/src/entry/Executor.cpp
@@ -108,8 +108,13 @@
   if (Lines.take(Now)) {
     if (const std::uint64_t Left = Lines.takeSuppressed())
       Log.write(event::LinesSuppressed, Left);
-    Log.write(event::RequestRefused, St.Id, Database, statement::name(Code),
-              Reason, Member, milliseconds(Now - Arrival), Config.Version);
+    const catalog::Route *Found = route(Database);
+    const std::string_view Service = Found ? Found->Service : "";
+    const ServicePool *Pool = pool(Service);
+    Log.write(event::RequestRefused, St.Id, Database, Service,
+              statement::name(Code), Reason, Member,
+              milliseconds(Now - Arrival), Config.Version,
+              Pool ? Pool->record().Epoch : 0);
   }
   return localError(Code, Reason, State);
 }
--- a/src/operator/ExitCode.h
+++ b/src/operator/ExitCode.h
@@ -6,7 +6,7 @@
 namespace borageridge::operators {
 
 /// Exit codes of borageridgectl; part of its interface, see
-/// docs/operations.md.
+/// docs/OPERATIONS.md.
 enum class ExitCode {
   Ok = 0,
   Failure = 1,
