Forward sessions to holders of connections where equal shares are too small

Change: where a share would be below two, one daemon in each availability zone holds the connections of a service, by rendezvous hashing; others forward their sessions to it. Daemons that share a service exchange news at full rate, others rarely; watches pause in proportion to the fleet. A loss after a write or a commit was passed on is in doubt.

--- a/programs/borageridge-entry/Main.cpp
+++ b/programs/borageridge-entry/Main.cpp
@@ -7,6 +7,8 @@
 #include <CLI/CLI.hpp>
 
 #include <csignal>
+#include <cstdio>
+#include <exception>
 #include <iostream>
 
 namespace {
@@ -16,6 +18,7 @@
 
 // Exit codes of sysexits.h.
 constexpr int BadUsage = 64;
+constexpr int InternalError = 70;
 constexpr int BadSettings = 78;
 constexpr int CannotStart = 71;
 
@@ -66,9 +69,7 @@
   std::_Exit(0);
 }
 
-} // namespace
-
-int main(int ArgumentCount, char **Arguments) {
+int runProgram(int ArgumentCount, char **Arguments) {
   Options Given;
   CLI::App App("Database proxy with session consistency: entry daemon");
   App.add_option("--settings", Given.SettingsPath,
@@ -85,3 +86,14 @@
   }
   return run(Given);
 }
+
+} // namespace
+
+int main(int ArgumentCount, char **Arguments) {
+  try {
+    return runProgram(ArgumentCount, Arguments);
+  } catch (const std::exception &Why) {
+    std::fprintf(stderr, "borageridge-entry: %s\n", Why.what());
+    return InternalError;
+  }
+}
--- a/programs/borageridge-explain/Main.cpp
+++ b/programs/borageridge-explain/Main.cpp
@@ -2,6 +2,8 @@
 
 #include <CLI/CLI.hpp>
 
+#include <cstdio>
+#include <exception>
 #include <fstream>
 #include <iostream>
 #include <string>
@@ -11,10 +13,9 @@
 
 constexpr int NothingFound = 1;
 constexpr int BadUsage = 64;
+constexpr int InternalError = 70;
 
-} // namespace
-
-int main(int ArgumentCount, char **Arguments) {
+int runProgram(int ArgumentCount, char **Arguments) {
   std::string Request;
   std::string Service;
   std::vector<std::string> Files;
@@ -46,3 +47,14 @@
     std::cout << borageridge::explain::format(Line) << '\n';
   return Told.empty() ? NothingFound : 0;
 }
+
+} // namespace
+
+int main(int ArgumentCount, char **Arguments) {
+  try {
+    return runProgram(ArgumentCount, Arguments);
+  } catch (const std::exception &Why) {
+    std::fprintf(stderr, "borageridge-explain: %s\n", Why.what());
+    return InternalError;
+  }
+}
--- a/src/entry/CallerConnection.cpp
+++ b/src/entry/CallerConnection.cpp
@@ -22,6 +22,8 @@
 constexpr Duration StartLimit = std::chrono::seconds(5);
 // Callers give up two seconds after their start message.
 constexpr Duration ConfigWait = std::chrono::milliseconds(1500);
+// The holder answers at the end of the route's time at the latest.
+constexpr Duration HolderSlack = std::chrono::milliseconds(300);
 constexpr Duration ConfigStep = std::chrono::milliseconds(20);
 
 } // namespace
@@ -95,11 +97,19 @@
     co_return false;
   }
   Own.Database = Start->Database;
-  if (co_await waitForRoute() == nullptr) {
+  const catalog::Route *Route = co_await waitForRoute();
+  if (Route == nullptr) {
     co_await write(platform::encodeFatalError(ErrorCode::UnknownDatabase,
                                               "no such database"));
     co_return false;
   }
+  if (Forwarder != nullptr) {
+    Holder = co_await Forwarder->openSession(Route->Service, Own.Database);
+  } else if (S.Stopping) {
+    co_await write(
+        platform::encodeFatalError(ErrorCode::Busy, "the proxy is stopping"));
+    co_return false;
+  }
   co_return co_await write(platform::encodeSessionReady());
 }
 
@@ -120,10 +130,45 @@
           platform::encodeFatalError(ErrorCode::Malformed, "unknown message"));
     co_return false;
   }
-  const statement::Reply Answer =
-      co_await S.Runner.execute(Own, std::move(*Statement), Arrival);
+  statement::Reply Answer;
+  if (Holder)
+    Answer = co_await forward(*Statement, Text, Arrival);
+  else
+    Answer = co_await S.Runner.execute(Own, std::move(*Statement), Arrival);
   const bool Written = co_await write(platform::encodeReply(Answer));
-  co_return Written &&Answer.Error != ErrorCode::UnknownDatabase;
+  const bool HolderLost = Holder && !Holder->isOpen();
+  co_return Written && !HolderLost &&
+      Answer.Error != ErrorCode::UnknownDatabase;
+}
+
+// The daemon at the other end decides; this one only has to say the truth if
+// that daemon is lost. It rolls back what its lost session had open.
+Task<statement::Reply> CallerConnection::forward(const statement::Statement &St,
+                                                 std::string_view Text,
+                                                 Time Arrival) {
+  const catalog::Route *Route = S.Runner.route(Own.Database);
+  if (Route == nullptr)
+    co_return statement::localError(ErrorCode::UnknownDatabase,
+                                    "no such database", HolderState);
+  std::string Bytes(Text);
+  Bytes.append("\r\n");
+  Expected<statement::Reply, pool::Loss> Answer =
+      co_await Holder->call(std::move(Bytes), Route->Timeout + HolderSlack);
+  if (Answer) {
+    HolderState = Answer.value().State;
+    co_return std::move(Answer).value();
+  }
+  const bool MayCommit = St.Kind == statement::StatementKind::Commit ||
+                         (HolderState == statement::TransactionState::None &&
+                          (St.Kind == statement::StatementKind::Write ||
+                           St.Kind == statement::StatementKind::Execute));
+  const bool Sent = Answer.error() == pool::Loss::MayHaveRun;
+  HolderState = statement::TransactionState::None;
+  co_return S.Runner.refuse(St, Own.Database,
+                            Sent && MayCommit ? ErrorCode::InDoubt
+                                              : ErrorCode::Aborted,
+                            "lost the proxy that holds the connections",
+                            Holder->member(), HolderState, Arrival);
 }
 
 Task<void> CallerConnection::run() {
@@ -138,7 +183,7 @@
       runtime::asio::steady_timer Idle(S.Io,
                                        S.Runner.catalog().TransactionIdle);
       Idle.async_wait([Self](const error_code &Error) {
-        if (!Error && Self->Waiting)
+        if (!Error && Self->Waiting && !Self->Holder)
           Self->S.Runner.failTransaction(Self->Own);
       });
       error_code Closed;
@@ -150,6 +195,8 @@
     Open = co_await serveOne();
   }
   S.Runner.abandon(Own);
+  if (Holder)
+    Holder->close();
   close();
 }
 
--- a/src/entry/CallerConnection.h
+++ b/src/entry/CallerConnection.h
@@ -1,6 +1,7 @@
 #ifndef BORAGERIDGE_ENTRY_CALLERCONNECTION_H
 #define BORAGERIDGE_ENTRY_CALLERCONNECTION_H
 
+#include "entry/Forwarding.h"
 #include "entry/State.h"
 
 #include <memory>
@@ -12,8 +13,10 @@
 /// One connection of a caller: reads statements and writes their answers.
 class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
 public:
-  CallerConnection(State &Shared, runtime::tcp::socket Accepted)
-      : S(Shared), Socket(std::move(Accepted)) {}
+  /// Forwarder: none for sessions that another daemon has forwarded.
+  CallerConnection(State &Shared, runtime::tcp::socket Accepted,
+                   Forwarding *Sessions)
+      : S(Shared), Socket(std::move(Accepted)), Forwarder(Sessions) {}
 
   /// Serves until the caller leaves or the connection is closed.
   runtime::Task<void> run();
@@ -22,7 +25,10 @@
   bool isIdle() const;
   /// Whether a statement is in work.
   bool isWorking() const { return !Waiting; }
-  bool isInTransaction() const { return Own.Tx.At != Transaction::Phase::None; }
+  bool isInTransaction() const {
+    return Own.Tx.At != Transaction::Phase::None ||
+           HolderState != statement::TransactionState::None;
+  }
   /// Closes it; a statement in work is not answered.
   void close();
 
@@ -34,8 +40,16 @@
   runtime::Task<bool> serveOne();
   runtime::Task<const catalog::Route *> waitForRoute();
 
+  runtime::Task<statement::Reply> forward(const statement::Statement &St,
+                                          std::string_view Text, Time Arrival);
+
   State &S;
   runtime::tcp::socket Socket;
+  Forwarding *Forwarder;
+  /// The session at the daemon that holds the connections; none if this one
+  /// does.
+  pool::Connection Holder;
+  statement::TransactionState HolderState = statement::TransactionState::None;
   std::string Buffer;
   Session Own;
   bool Waiting = false;
--- a/src/entry/Daemon.cpp
+++ b/src/entry/Daemon.cpp
@@ -44,7 +44,8 @@
                boot::DaemonSettings Settings, tcp::endpoint Store,
                tcp::endpoint Promotion, telemetry::Log &Output)
     : Io(Context), Log(Output), S(Context, std::move(Settings), Store, Output),
-      View(S), Lease(S, View), Others(S), Changes(S, Others, Promotion) {
+      View(S), Lease(S, View), Others(S), Changes(S, Others, Promotion),
+      Sessions(S) {
   S.Incarnation = static_cast<std::uint64_t>(
       std::chrono::system_clock::now().time_since_epoch().count());
   S.Shared.LeavingPrimaryLimit = S.Settings.LeaveLimit - LeavingReserve;
@@ -67,27 +68,40 @@
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
-Expected<void> Daemon::listen(std::uint16_t MetricsPort) {
-  const tcp::endpoint Frontend = endpointOf(S.Settings.CallerAddress);
+Expected<void> Daemon::listenForCallers(tcp::endpoint Address,
+                                        Forwarding *Forwarder) {
   tcp::acceptor Acceptor(Io);
   error_code Error;
   Acceptor.open(tcp::v4(), Error);
   if (!Error)
     Acceptor.set_option(tcp::acceptor::reuse_address(true), Error);
   if (!Error)
-    Acceptor.bind(Frontend, Error);
+    Acceptor.bind(Address, Error);
   if (!Error)
     Acceptor.listen(runtime::asio::socket_base::max_listen_connections, Error);
   if (Error)
     return Failure{FailureKind::Unavailable,
                    "cannot listen for callers: " + Error.message()};
-  runtime::spawn(Io, acceptCallers(std::move(Acceptor)));
-  Expected<void> Bound = http::serve(
+  runtime::spawn(Io, acceptCallers(std::move(Acceptor), Forwarder));
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+Expected<void> Daemon::listen(std::uint16_t MetricsPort) {
+  const tcp::endpoint Frontend = endpointOf(S.Settings.CallerAddress);
+  const auto Ip = Frontend.address();
+  Expected<void> Bound = listenForCallers(Frontend, &Sessions);
+  // Sessions that other daemons forward are served here in any case.
+  if (Bound)
+    Bound = listenForCallers(
+        tcp::endpoint(Ip, static_cast<std::uint16_t>(S.Settings.PeerPort + 1)),
+        nullptr);
+  if (!Bound)
+    return Bound;
+  Bound = http::serve(
       Io, endpointOf(S.Settings.ReadinessAddress),
       [this](const http::Request &Call) { return answerReadiness(Call); });
   if (!Bound)
     return Bound;
-  const auto Ip = Frontend.address();
   if (MetricsPort != 0)
     Bound = http::serve(
         Io, tcp::endpoint(Ip, MetricsPort),
@@ -128,7 +142,8 @@
   return {200, S.Metrics.text(), "text/plain; version=0.0.4"};
 }
 
-Task<void> Daemon::acceptCallers(tcp::acceptor Acceptor) {
+Task<void> Daemon::acceptCallers(tcp::acceptor Acceptor,
+                                 Forwarding *Forwarder) {
   constexpr Duration Pause = std::chrono::milliseconds(10);
   for (;;) {
     error_code Error;
@@ -139,7 +154,7 @@
       continue;
     }
     runtime::spawn(Io, serveCaller(std::make_shared<CallerConnection>(
-                           S, std::move(Socket))));
+                           S, std::move(Socket), Forwarder)));
   }
 }
 
@@ -153,6 +168,7 @@
   for (;;) {
     const Time Now = bootTime();
     View.tick(Now);
+    Sessions.tick();
     for (const auto &[Name, Pool] : S.ByService)
       Pool->tick(Now);
     if (!WasReady && isReady(Now)) {
--- a/src/entry/Daemon.h
+++ b/src/entry/Daemon.h
@@ -29,7 +29,10 @@
 
 private:
   Expected<void> listen(std::uint16_t MetricsPort);
-  runtime::Task<void> acceptCallers(runtime::tcp::acceptor Acceptor);
+  Expected<void> listenForCallers(runtime::tcp::endpoint Address,
+                                  Forwarding *Forwarder);
+  runtime::Task<void> acceptCallers(runtime::tcp::acceptor Acceptor,
+                                    Forwarding *Forwarder);
   runtime::Task<void> serveCaller(std::shared_ptr<CallerConnection> Caller);
   runtime::Task<void> tick();
   runtime::Task<void> handleSignals();
@@ -46,6 +49,7 @@
   Registration Lease;
   Exchange Others;
   Coordinator Changes;
+  Forwarding Sessions;
   std::set<std::shared_ptr<CallerConnection>> Callers;
   bool WasReady = false;
 };
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -14,9 +14,9 @@
 
 // Evidence and load are at most this old, and the answer one round trip more.
 constexpr Duration Interval = std::chrono::milliseconds(250);
-// Fleets larger than this exchange less often, so that the cost of a daemon
+// In larger fleets each peer is asked less often, so that the cost of a daemon
 // does not grow with the fleet.
-constexpr std::size_t FullRatePeers = 8;
+constexpr std::size_t FullRatePeers = 12;
 constexpr Duration AskLimit = std::chrono::milliseconds(600);
 // Load that was told longer ago says nothing.
 constexpr Duration LoadLifetime = std::chrono::milliseconds(1000);
@@ -24,6 +24,10 @@
 // the store lost its leases.
 constexpr Duration PeerLifetime = std::chrono::seconds(10);
 
+std::size_t slowdown(std::size_t Peers) {
+  return std::max<std::size_t>(1, Peers / FullRatePeers);
+}
+
 std::int64_t microseconds(Duration D) {
   return std::chrono::duration_cast<std::chrono::microseconds>(D).count();
 }
@@ -52,18 +56,36 @@
 
 } // namespace
 
+// Daemons that hold connections of the same service, and the holder of the duty
+// with all that hold any, need each other's news soon; the others rarely.
+bool Exchange::isClose(const std::string &Name) const {
+  if (S.Peers.size() <= FullRatePeers)
+    return true;
+  const bool Coordinates = S.Promoter.Value == S.Settings.InstanceName;
+  for (const auto &[Service, Chosen] : S.Holders) {
+    const auto Holds = [&, &Names = Chosen](const std::string &Who) {
+      return std::find(Names.begin(), Names.end(), Who) != Names.end();
+    };
+    if (Holds(Name) && (Coordinates || Holds(S.Settings.InstanceName)))
+      return true;
+  }
+  return false;
+}
+
 Task<void> Exchange::run() {
-  for (;;) {
+  for (std::size_t Round = 0;; ++Round) {
     if (S.Peers.empty())
       findSeeds();
-    std::size_t Asked = 0;
+    const std::size_t Slowdown = slowdown(S.Peers.size());
+    std::size_t Index = 0;
     for (const auto &[Name, Other] : S.Peers) {
-      runtime::spawn(S.Io, askPeer(Name));
-      ++Asked;
+      const bool Turn = (Index + Round) % Slowdown == 0;
+      ++Index;
+      if (Turn || isClose(Name))
+        runtime::spawn(S.Io, askPeer(Name));
     }
     shareLoad(bootTime());
-    const auto Slowdown = std::max<std::size_t>(1, Asked / FullRatePeers);
-    co_await runtime::sleepFor(Interval * static_cast<int>(Slowdown));
+    co_await runtime::sleepFor(Interval);
   }
 }
 
@@ -83,6 +105,10 @@
   }
 }
 
+Duration Exchange::slowestInterval() const {
+  return Interval * static_cast<int>(slowdown(S.Peers.size()));
+}
+
 Task<void> Exchange::askPeer(std::string Name) {
   const auto Channel = S.Peers[Name].Channel;
   if (!Channel)
@@ -160,6 +186,8 @@
   Message Groups = Message::array();
   Message InFlight = Message::object();
   for (const auto &[Service, Pool] : S.ByService) {
+    if (!Pool->isHolding())
+      continue;
     const cluster::GroupRecord &Record = Pool->record();
     Message Entry = encodeRecord(Service, Record);
     Entry["primary"] = Record.Primary;
@@ -271,7 +299,9 @@
   Request["type"] = "record";
   const auto Tell = [](std::shared_ptr<peer::PeerChannel> To,
                        Message M) -> Task<void> {
-    co_await To->ask(std::move(M), AskLimit);
+    // The watch brings the record to peers that are not reached.
+    const Expected<Message> Ignored = co_await To->ask(std::move(M), AskLimit);
+    static_cast<void>(Ignored);
   };
   for (const auto &[Name, Other] : S.Peers)
     if (Other.Channel)
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -26,7 +26,11 @@
   /// Tells all peers about a record, without waiting.
   void announce(const std::string &Service, const cluster::GroupRecord &Newer);
 
+  /// How often the least close peer is asked.
+  Duration slowestInterval() const;
+
 private:
+  bool isClose(const std::string &Name) const;
   runtime::Task<void> askPeer(std::string Name);
   void learn(Peer &From, const peer::Message &News, Time AskedAt, Time Now);
   void shareLoad(Time Now);
--- a/src/entry/Executor.cpp
+++ b/src/entry/Executor.cpp
@@ -62,10 +62,12 @@
 }
 
 std::string_view describe(const Attempt &Result) {
-  if (Result)
-    return Result.value().Error ? statement::name(*Result.value().Error)
-                                : "primary given up";
-  return Result.error() == Loss::NotSent ? "connection closed" : "answer lost";
+  if (!Result)
+    return Result.error() == Loss::NotSent ? "connection closed"
+                                           : "answer lost";
+  if (Result.value().Error)
+    return statement::name(*Result.value().Error);
+  return "primary given up";
 }
 
 ErrorCode refusalCode(const Attempt &Result) {
@@ -513,11 +515,10 @@
       !Over.OnPrimary || Pool->mayAcknowledge(Over.Epoch, bootTime());
   const Next Step = judgeInTransaction(Result, Entitled, false);
   if (Step == Next::Answer && !Result.value().Error) {
-    Reply Answer = std::move(Result).value();
-    if (Answer.State == TransactionState::Open) {
+    if (Result.value().State == TransactionState::Open) {
       if (!Writes)
         Metrics.addRead(Over.OnPrimary);
-      co_return Answer;
+      co_return std::move(Result).value();
     }
     // The endpoint no longer holds the transaction.
     Over.Link->close();
--- a/src/entry/Executor.h
+++ b/src/entry/Executor.h
@@ -40,9 +40,13 @@
   void abandon(Session &S);
   /// As abandon; the caller is told with its next statement.
   void failTransaction(Session &S);
+  /// Answers with an error of the daemon itself, and logs it.
+  statement::Reply refuse(const statement::Statement &St,
+                          std::string_view Database, statement::ErrorCode Code,
+                          std::string_view Reason, std::string_view Member,
+                          statement::TransactionState State, Time Arrival);
 
 private:
-  struct Work;
   runtime::Task<statement::Reply>
   executeAlone(Session &S, const statement::Statement &St, Time Arrival);
   runtime::Task<statement::Reply>
@@ -69,10 +73,6 @@
                          Time Arrival);
   statement::Reply changeSession(Session &S, const statement::Statement &St);
   statement::Reply rollback(Session &S);
-  statement::Reply refuse(const statement::Statement &St,
-                          std::string_view Database, statement::ErrorCode Code,
-                          std::string_view Reason, std::string_view Member,
-                          statement::TransactionState State, Time Arrival);
   void reportRetry(const statement::Statement &St, std::string_view Member,
                    const Attempt &Result, unsigned Count);
   void endAtEndpoint(Session &S, bool KnownEnded);
--- /dev/null
+++ b/src/entry/Forwarding.cpp
@@ -0,0 +1,95 @@
+#include "entry/Forwarding.h"
+
+#include "cluster/Holders.h"
+#include "entry/Events.h"
+#include "platform/Wire.h"
+#include "runtime/Clock.h"
+
+#include <algorithm>
+
+namespace borageridge::entry {
+namespace {
+
+using runtime::bootTime;
+using runtime::Task;
+
+constexpr Duration OpenLimit = std::chrono::milliseconds(400);
+// Until the daemon's entry is gone or it answers peers again.
+constexpr Duration Avoidance = std::chrono::seconds(3);
+// Daemons that are asked for one session before it is served here.
+constexpr unsigned MaxTries = 3;
+
+bool contains(const std::vector<std::string> &Names, std::string_view Name) {
+  return std::find(Names.begin(), Names.end(), Name) != Names.end();
+}
+
+} // namespace
+
+const Forwarding::Choice &Forwarding::choice(const std::string &Service) {
+  if (ChosenFrom != S.DaemonsVersion)
+    Choices.clear();
+  ChosenFrom = S.DaemonsVersion;
+  const auto [Found, New] = Choices.try_emplace(Service);
+  if (!New)
+    return Found->second;
+  std::vector<cluster::DaemonRecord> Live;
+  Live.reserve(S.Daemons.size());
+  for (const auto &[Name, D] : S.Daemons)
+    Live.push_back(D);
+  Found->second.Ranking =
+      cluster::holderRanking(Live, Service, S.Settings.AvailabilityZone);
+  Found->second.Holders = cluster::holders(Live, Service);
+  return Found->second;
+}
+
+void Forwarding::tick() {
+  for (const auto &[Service, Pool] : S.ByService) {
+    if (!cluster::needsHolders(Pool->spec().MaxConnections,
+                               S.Shared.LiveDaemons)) {
+      Pool->setHolding(true, S.Shared.LiveDaemons);
+      S.Holders.erase(Service);
+      continue;
+    }
+    const std::vector<std::string> &Chosen = choice(Service).Holders;
+    Pool->setHolding(contains(Chosen, S.Settings.InstanceName),
+                     std::max<std::size_t>(1, Chosen.size()));
+    if (S.Holders[Service] != Chosen)
+      S.Holders[Service] = Chosen;
+  }
+}
+
+Task<pool::Connection> Forwarding::openSession(std::string Service,
+                                               std::string Database) {
+  if (!S.Holders.contains(Service))
+    co_return nullptr;
+  const std::vector<std::string> Order = choice(Service).Ranking;
+  unsigned Tries = 0;
+  for (const std::string &Name : Order) {
+    if (Name == S.Settings.InstanceName || Tries == MaxTries)
+      co_return nullptr;
+    const auto Found = S.Peers.find(Name);
+    if (Found == S.Peers.end() || Found->second.Lost ||
+        bootTime() < AvoidUntil[Name])
+      continue;
+    ++Tries;
+    const cluster::DaemonRecord Holder = Found->second.Record;
+    runtime::error_code Error;
+    const auto Ip = runtime::asio::ip::make_address_v4(Holder.Ip, Error);
+    if (Error)
+      continue;
+    const runtime::tcp::endpoint To(
+        Ip, static_cast<std::uint16_t>(Holder.PeerPort + 1));
+    auto Link = std::make_shared<pool::EndpointConnection>(S.Io, Name);
+    Expected<statement::Reply> Answer = co_await Link->open(
+        To, platform::encodeStart(Database, S.Settings.InstanceName, Database),
+        OpenLimit);
+    if (Answer && !Answer.value().Error)
+      co_return Link;
+    AvoidUntil[Name] = bootTime() + Avoidance;
+    S.Log.write(event::PeerLost, Name,
+                Answer ? Answer.value().Detail : Answer.error().Detail);
+  }
+  co_return nullptr;
+}
+
+} // namespace borageridge::entry
--- a/src/entry/OutcomeTest.cpp
+++ b/src/entry/OutcomeTest.cpp
@@ -7,7 +7,6 @@
 
 using pool::Loss;
 using statement::ErrorCode;
-using statement::Reply;
 using statement::TransactionState;
 
 constexpr ErrorCode AllErrors[] = {ErrorCode::Busy,
--- a/src/entry/State.h
+++ b/src/entry/State.h
@@ -18,6 +18,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace borageridge::entry {
 
@@ -68,6 +69,10 @@
   std::map<std::string, Peer> Peers;
   /// Daemons with a lease, by name; with this one.
   std::map<std::string, cluster::DaemonRecord> Daemons;
+  /// Counts the changes of Daemons.
+  std::uint64_t DaemonsVersion = 0;
+  /// Daemons that hold the connections of a service, where not all do.
+  std::map<std::string, std::vector<std::string>> Holders;
   /// The entry of the daemon that may promote; revision 0: none.
   keyvalue::Item Promoter;
   bool Loaded = false;
--- a/src/entry/StoreView.cpp
+++ b/src/entry/StoreView.cpp
@@ -19,7 +19,11 @@
 // A silent connection is noticed this late; each wait costs one call.
 constexpr Duration WatchWait = std::chrono::milliseconds(2500);
 // Answers that carry many changes at once cost less than one call for each.
-constexpr Duration WatchPause = std::chrono::milliseconds(40);
+// Each daemon pauses in proportion to the fleet, so that the calls of all do
+// not grow with it; the limit is a fifth of the time in which a configuration
+// must be in force.
+constexpr Duration WatchPausePerDaemon = std::chrono::milliseconds(12);
+constexpr Duration MaxWatchPause = std::chrono::milliseconds(800);
 constexpr Duration FailurePause = std::chrono::milliseconds(150);
 // Entries that lapsed with the store are back two seconds after its return.
 constexpr Duration VanishedGrace = std::chrono::milliseconds(2300);
@@ -86,7 +90,9 @@
     publishMembers(Now);
     At = std::max(At, Seen.value().StoreRevision);
     if (!Seen.value().Changes.empty())
-      co_await runtime::sleepFor(WatchPause);
+      co_await runtime::sleepFor(std::min<Duration>(
+          MaxWatchPause,
+          WatchPausePerDaemon * static_cast<int>(S.Shared.LiveDaemons)));
   }
 }
 
@@ -205,7 +211,7 @@
 void StoreView::applyDaemon(const Change &Seen) {
   const std::string Name(suffix(Seen.Written.Key, cluster::DaemonPrefix));
   if (Seen.Removed) {
-    S.Daemons.erase(Name);
+    S.DaemonsVersion += S.Daemons.erase(Name);
     return;
   }
   const Expected<cluster::DaemonRecord> Record =
@@ -215,6 +221,7 @@
     return;
   }
   S.Daemons[Name] = Record.value();
+  ++S.DaemonsVersion;
   if (Name == S.Settings.InstanceName)
     return;
   Peer &Other = S.Peers[Name];
--- a/src/failover/Rank.cpp
+++ b/src/failover/Rank.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <functional>
 #include <utility>
 
 namespace borageridge::failover {
@@ -25,6 +26,20 @@
 
 } // namespace
 
+std::vector<std::size_t> rankedOrder(std::span<const ProxyIdentity> Proxies,
+                                     std::string_view Database) {
+  std::vector<std::pair<Digest, std::size_t>> Weights;
+  Weights.reserve(Proxies.size());
+  for (std::size_t I = 0; I < Proxies.size(); ++I)
+    Weights.emplace_back(weight(Proxies[I].Name, Database), I);
+  std::ranges::sort(Weights, std::greater<>());
+  std::vector<std::size_t> Order;
+  Order.reserve(Proxies.size());
+  for (const auto &[Weight, Index] : Weights)
+    Order.push_back(Index);
+  return Order;
+}
+
 unsigned rankOf(std::string_view Self,
                 std::span<const ProxyIdentity> LiveProxies,
                 std::string_view Database) {
--- a/src/failover/Rank.h
+++ b/src/failover/Rank.h
@@ -1,9 +1,11 @@
 #ifndef BORAGERIDGE_FAILOVER_RANK_H
 #define BORAGERIDGE_FAILOVER_RANK_H
 
+#include <cstddef>
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace borageridge::failover {
 
@@ -23,6 +25,10 @@
                 std::span<const ProxyIdentity> LiveProxies,
                 std::string_view Database);
 
+/// Indices of the proxies in the order of their ranks, the first to act first.
+std::vector<std::size_t> rankedOrder(std::span<const ProxyIdentity> Proxies,
+                                     std::string_view Database);
+
 } // namespace borageridge::failover
 
 #endif // BORAGERIDGE_FAILOVER_RANK_H
--- a/src/pool/ServicePool.cpp
+++ b/src/pool/ServicePool.cpp
@@ -167,7 +167,7 @@
 }
 
 std::uint32_t ServicePool::connectionLimit() const {
-  return connectionShare(Spec.MaxConnections, Shared.LiveDaemons);
+  return connectionShare(Spec.MaxConnections, SharingDaemons);
 }
 
 MemberLoad ServicePool::loadOf(MemberState &M, const Demand &D,
@@ -529,7 +529,7 @@
     closeSurplus(M, Now);
     reportHealth(M, Now);
     const bool Quiet = Now - M.Health.lastAnswer() > ProbeInterval;
-    if (M.Registered && Quiet && !M.Probing) {
+    if (M.Registered && Quiet && !M.Probing && Holding) {
       M.Probing = true;
       runtime::spawn(Shared.Io, probe(Id));
     }
--- a/src/pool/ServicePool.h
+++ b/src/pool/ServicePool.h
@@ -34,7 +34,7 @@
   const cluster::UseLease &Lease;
   std::string InstanceName;
   std::string AvailabilityZone;
-  /// Daemons that share the members' connections.
+  /// Daemons that run now, as far as this one knows.
   std::size_t LiveDaemons = 1;
   /// A leaving primary gets no statements later than this after it told.
   Duration LeavingPrimaryLimit = std::chrono::milliseconds(5000);
@@ -61,6 +61,14 @@
   ServicePool(PoolContext &Shared, std::string Service);
 
   // What the daemon believes.
+  /// Whether this daemon keeps connections to the members, and how many daemons
+  /// do.
+  void setHolding(bool Holds, std::size_t Sharers) {
+    Holding = Holds;
+    SharingDaemons = Sharers;
+  }
+  bool isHolding() const { return Holding; }
+  std::size_t sharingDaemons() const { return SharingDaemons; }
   void setSpec(const catalog::ServiceSpec &NewSpec) { Spec = NewSpec; }
   void setMembers(std::vector<catalog::Member> Known, Time Now);
   /// Ignores records that are older than the present one.
@@ -188,6 +196,8 @@
   std::map<admission::TicketId, Waiter *> Waiters;
   admission::TicketId LastTicket = 0;
   bool Waking = false;
+  bool Holding = true;
+  std::size_t SharingDaemons = 1;
   std::uint64_t Opened = 0;
 };
 
