Model the use lease of primaries and the change that ends it

Cause: that a change of primary never overlaps with the use of the old one was argued in prose only. Change: models/use_lease.pml with four planted faults, run by tools/model.sh.

--- a/tools/model.sh
+++ b/tools/model.sh
@@ -37,6 +37,11 @@
 check promotion fails CONFIRMED_SURVIVES PRIMARY_ALONE
 check promotion fails CONFIRMED_SURVIVES POSITION_ONLY
 check promotion fails CONFIRMED_SURVIVES OLD_TERM_ENTRIES MAX_TERM=4 MAX_LENGTH=3
+check use_lease holds ALL_FAULTS_OFF
+check use_lease fails NO_WAIT
+check use_lease fails STEADY_CLOCK
+check use_lease fails COUNT_FROM_ANSWER
+check use_lease fails AGREE_FIRST
 check settle holds AT_MOST_ONCE
 check settle holds TRUE_REFUSAL
 check settle holds TRUE_OUTCOME
