--- /dev/null
+++ b/src/entry/ExecutorTest.cpp
@@ -0,0 +1,337 @@
+#include "entry/Executor.h"
+
+#include "runtime/Clock.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <functional>
+#include <sstream>
+
+namespace borageridge::entry {
+namespace {
+
+using runtime::error_code;
+using runtime::Task;
+using runtime::tcp;
+using runtime::asio::redirect_error;
+using runtime::asio::use_awaitable;
+using statement::ErrorCode;
+using statement::Reply;
+using statement::Statement;
+using statement::StatementKind;
+using statement::TransactionState;
+using std::chrono::milliseconds;
+
+constexpr std::string_view Success = "COMPLETE 7.1\r\nREADY I 1.5\r\n";
+constexpr std::string_view InTransaction = "COMPLETE 7.1\r\nREADY T 1.5\r\n";
+constexpr std::string_view CloseConnection = "close";
+
+// A member on a loopback socket that answers as the test says.
+class FakeMember {
+public:
+  struct Request {
+    int Connection;
+    std::string Text;
+  };
+  /// Returns the bytes to send, nothing for silence, or CloseConnection.
+  using Script = std::function<std::string_view(const std::string &Text)>;
+
+  FakeMember(runtime::asio::io_context &Context, std::string Name)
+      : Io(Context), Id(std::move(Name)),
+        Acceptor(Context,
+                 tcp::endpoint(runtime::asio::ip::address_v4::loopback(), 0)) {
+    runtime::spawn(Io, accept());
+  }
+
+  catalog::Member info() const {
+    catalog::Member M;
+    M.Id = Id;
+    M.Service = "db";
+    M.Address = "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
+    M.Slots = 3;
+    return M;
+  }
+
+  std::size_t count(std::string_view Part) const {
+    return static_cast<std::size_t>(
+        std::count_if(Requests.begin(), Requests.end(), [&](const Request &R) {
+          return R.Text.find(Part) != std::string::npos;
+        }));
+  }
+
+  Script Answer = [](const std::string &Text) {
+    return Text.find("BEGIN") != std::string::npos ? InTransaction : Success;
+  };
+  std::vector<Request> Requests;
+
+private:
+  Task<void> accept() {
+    for (int Number = 0;; ++Number)
+      runtime::spawn(
+          Io, serve(co_await Acceptor.async_accept(use_awaitable), Number));
+  }
+
+  Task<void> serve(tcp::socket Socket, int Number) {
+    std::string Buffer;
+    for (;;) {
+      error_code Error;
+      const std::size_t Size = co_await runtime::asio::async_read_until(
+          Socket, runtime::asio::dynamic_buffer(Buffer), "\r\n",
+          redirect_error(use_awaitable, Error));
+      if (Error)
+        co_return;
+      const std::string Text = Buffer.substr(0, Size - 2);
+      Buffer.erase(0, Size);
+      std::string Bytes = "READY I 1.5\r\n";
+      if (!Text.starts_with("START")) {
+        Requests.push_back({Number, Text});
+        Bytes = Answer(Text);
+      }
+      if (Bytes == CloseConnection)
+        co_return;
+      co_await runtime::asio::async_write(Socket, runtime::asio::buffer(Bytes),
+                                          redirect_error(use_awaitable, Error));
+    }
+  }
+
+  runtime::asio::io_context &Io;
+  std::string Id;
+  tcp::acceptor Acceptor;
+};
+
+Statement make(StatementKind Kind, const std::string &Text) {
+  Statement S;
+  S.Id = "q1";
+  S.Text = Text;
+  S.Kind = Kind;
+  return S;
+}
+
+const Statement Write = make(StatementKind::Write, "WRITE 1 x");
+const Statement Read = make(StatementKind::Read, "READ 1");
+const Statement Begin = make(StatementKind::Begin, "BEGIN");
+const Statement Commit = make(StatementKind::Commit, "COMMIT");
+
+class ExecutorTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ExecutorTest);
+  CPPUNIT_TEST(aWriteIsAnsweredByThePrimary);
+  CPPUNIT_TEST(aWriteWhoseAnswerIsLostIsInDoubtAndNotSentAgain);
+  CPPUNIT_TEST(aWriteThatDidNotRunIsSentAgain);
+  CPPUNIT_TEST(aReadIsRepeatedElsewhereAfterALoss);
+  CPPUNIT_TEST(aReadAsksAReplicaForItsPosition);
+  CPPUNIT_TEST(aLaggingReplicaHandsTheReadOn);
+  CPPUNIT_TEST(aTransactionRunsOnOneConnection);
+  CPPUNIT_TEST(aTransactionThatLosesItsConnectionIsAborted);
+  CPPUNIT_TEST(aCommitWhoseAnswerIsLostIsInDoubt);
+  CPPUNIT_TEST(withoutALeaseNothingReachesThePrimary);
+  CPPUNIT_TEST(aWriteAnsweredAfterTheUseEndedIsInDoubt);
+  CPPUNIT_TEST(variablesOfAnotherSessionAreClearedFirst);
+  CPPUNIT_TEST(anAbandonedTransactionIsRolledBack);
+  CPPUNIT_TEST_SUITE_END();
+
+  runtime::asio::io_context Io;
+  std::ostringstream Lines;
+  telemetry::Log Log{"test", telemetry::LogLevel::Info, Lines};
+  cluster::UseLease Lease;
+  pool::PoolContext Shared{Io, Log, Lease, "entry-1", "z1"};
+  Pools ByService;
+  EntryMetrics Metrics;
+  std::unique_ptr<Executor> Subject;
+  FakeMember Primary{Io, "p"};
+  FakeMember Replica{Io, "r"};
+  Session S;
+
+public:
+  void setUp() override {
+    const Time Now = runtime::bootTime();
+    Lease.confirm(7, Now, std::chrono::seconds(60));
+    auto &Pool = ByService["db"];
+    Pool = std::make_unique<pool::ServicePool>(Shared, "db");
+    Pool->setSpec({"db", 20, 0});
+    Pool->setRecord({9, 1, "p", false, 0}, Now);
+    Pool->setMembers({Primary.info(), Replica.info()}, Now);
+    catalog::Catalog Config;
+    Config.Version = 1;
+    Config.RoutesByDatabase["jobs"] = route("jobs");
+    Config.RoutesByDatabase["stock"] = route("stock");
+    Config.RoutesByDatabase["stock"].Reads =
+        catalog::Consistency::ReadYourWrites;
+    Config.RoutesByDatabase["stock"].MaxStaleness = std::chrono::seconds(2);
+    Subject = std::make_unique<Executor>(Io, ByService, Log, Metrics);
+    Subject->setCatalog(Config);
+    S.Database = "jobs";
+  }
+
+private:
+  static catalog::Route route(const std::string &Name) {
+    catalog::Route R;
+    R.Database = Name;
+    R.Service = "db";
+    R.Timeout = milliseconds(700);
+    R.TargetLatency = milliseconds(400);
+    return R;
+  }
+
+  pool::ServicePool &pool() { return *ByService["db"]; }
+
+  // Runs one statement to its end; the loop stops afterwards.
+  Reply run(Session &Of, const Statement &St) {
+    std::optional<Reply> Result;
+    const auto Work = [&]() -> Task<void> {
+      Result = co_await Subject->execute(Of, St, runtime::bootTime());
+      Io.stop();
+    };
+    runtime::spawn(Io, Work());
+    Io.restart();
+    Io.run_for(std::chrono::seconds(5));
+    CPPUNIT_ASSERT(Result.has_value());
+    return *Result;
+  }
+
+  void useReplica() {
+    S.Database = "stock";
+    pool().addSample(9, runtime::bootTime(), {1, 5});
+  }
+
+  void assertError(ErrorCode Wanted, const Reply &Found) {
+    CPPUNIT_ASSERT(Found.Error.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::string(name(Wanted)),
+                         std::string(name(*Found.Error)));
+  }
+
+  void aWriteIsAnsweredByThePrimary() {
+    const Reply R = run(S, Write);
+    CPPUNIT_ASSERT(R.succeeded());
+    CPPUNIT_ASSERT_EQUAL(std::string("7.1"), R.Detail);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Primary.count("QUERY q1 WRITE 1 x"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Replica.count("WRITE"));
+  }
+
+  void aWriteWhoseAnswerIsLostIsInDoubtAndNotSentAgain() {
+    Primary.Answer = [](const std::string &) { return CloseConnection; };
+    assertError(ErrorCode::InDoubt, run(S, Write));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Primary.count("WRITE"));
+  }
+
+  void aWriteThatDidNotRunIsSentAgain() {
+    Primary.Answer = [this](const std::string &) {
+      return Primary.count("WRITE") == 1
+                 ? std::string_view("ERROR BUSY full\r\nREADY I 1.5\r\n")
+                 : Success;
+    };
+    CPPUNIT_ASSERT(run(S, Write).succeeded());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Primary.count("WRITE"));
+  }
+
+  void aReadIsRepeatedElsewhereAfterALoss() {
+    useReplica();
+    Replica.Answer = [](const std::string &) { return CloseConnection; };
+    CPPUNIT_ASSERT(run(S, Read).succeeded());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Replica.count("READ 1"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Primary.count("READ 1"));
+  }
+
+  void aReadAsksAReplicaForItsPosition() {
+    useReplica();
+    CPPUNIT_ASSERT(run(S, Read).succeeded());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                         Replica.count("QUERY q1 AFTER 1.5 READ 1"));
+  }
+
+  void aLaggingReplicaHandsTheReadOn() {
+    useReplica();
+    Replica.Answer = [](const std::string &) {
+      return std::string_view("ERROR LAGGING 1.2\r\nREADY I 1.2\r\n");
+    };
+    CPPUNIT_ASSERT(run(S, Read).succeeded());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Primary.count("READ 1"));
+  }
+
+  void aTransactionRunsOnOneConnection() {
+    Primary.Answer = [](const std::string &Text) {
+      return Text.find("COMMIT") == std::string::npos ? InTransaction : Success;
+    };
+    CPPUNIT_ASSERT(run(S, Begin).State == TransactionState::Open);
+    CPPUNIT_ASSERT(Primary.Requests.empty());
+    CPPUNIT_ASSERT(run(S, Write).succeeded());
+    CPPUNIT_ASSERT(run(S, Read).succeeded());
+    CPPUNIT_ASSERT(run(S, Commit).State == TransactionState::None);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(4), Primary.Requests.size());
+    for (const FakeMember::Request &R : Primary.Requests)
+      CPPUNIT_ASSERT_EQUAL(Primary.Requests[0].Connection, R.Connection);
+  }
+
+  void aTransactionThatLosesItsConnectionIsAborted() {
+    Primary.Answer = [](const std::string &Text) {
+      return Text.find("READ") == std::string::npos ? InTransaction
+                                                    : CloseConnection;
+    };
+    run(S, Begin);
+    CPPUNIT_ASSERT(run(S, Write).succeeded());
+    const Reply R = run(S, Read);
+    assertError(ErrorCode::Aborted, R);
+    CPPUNIT_ASSERT(R.State == TransactionState::Failed);
+    assertError(ErrorCode::Aborted, run(S, Commit));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Primary.count("COMMIT"));
+  }
+
+  void aCommitWhoseAnswerIsLostIsInDoubt() {
+    Primary.Answer = [](const std::string &Text) {
+      return Text.find("COMMIT") == std::string::npos ? InTransaction
+                                                      : CloseConnection;
+    };
+    run(S, Begin);
+    run(S, Write);
+    assertError(ErrorCode::InDoubt, run(S, Commit));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Primary.count("COMMIT"));
+  }
+
+  void withoutALeaseNothingReachesThePrimary() {
+    Lease.drop();
+    assertError(ErrorCode::Busy, run(S, Write));
+    CPPUNIT_ASSERT(Primary.Requests.empty());
+  }
+
+  // The member answers while the daemon agrees to a change of primary.
+  void aWriteAnsweredAfterTheUseEndedIsInDoubt() {
+    Primary.Answer = [this](const std::string &) {
+      runtime::spawn(Io, pool().relinquish(9, Duration::zero()));
+      return std::string_view();
+    };
+    assertError(ErrorCode::InDoubt, run(S, Write));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Primary.count("WRITE"));
+  }
+
+  void variablesOfAnotherSessionAreClearedFirst() {
+    Statement Set = make(StatementKind::SetVariable, "SET a 1");
+    Set.Name = "a";
+    Set.Arguments = "1";
+    run(S, Set);
+    CPPUNIT_ASSERT(run(S, Write).succeeded());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Primary.count("SET a 1"));
+    Session Other;
+    Other.Database = "jobs";
+    CPPUNIT_ASSERT(run(Other, Write).succeeded());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Primary.count("RESET"));
+  }
+
+  void anAbandonedTransactionIsRolledBack() {
+    Primary.Answer = [](const std::string &Text) {
+      return Text.find("ROLLBACK") == std::string::npos ? InTransaction
+                                                        : Success;
+    };
+    run(S, Begin);
+    run(S, Write);
+    Subject->abandon(S);
+    Io.restart();
+    Io.run_for(milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Primary.count("ROLLBACK"));
+    CPPUNIT_ASSERT(S.Tx.At == Transaction::Phase::None);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ExecutorTest);
+
+} // namespace
+} // namespace borageridge::entry
