Let the duty and the evidence work in larger fleets

Cause: with 73 daemons most peers are asked every 1.5 s, so the holder of the duty believed that it had lost them and resigned, and 30% of all daemons had to report the loss of a primary though only four hold its connections. Change: the life of reports follows the rate of exchange; where some daemons hold the connections, only they count. Failed ends of leases and steps down are logged; a name in a log line is no longer read from a temporary.

--- a/src/cluster/Holders.cpp
+++ b/src/cluster/Holders.cpp
@@ -40,6 +40,7 @@
   for (const DaemonRecord &D : Live)
     Zones.insert(D.AvailabilityZone);
   std::vector<std::string> Result;
+  Result.reserve(Zones.size());
   for (const std::string &Zone : Zones)
     Result.push_back(holderRanking(Live, Service, Zone).front());
   return Result;
--- a/src/cluster/HoldersTest.cpp
+++ b/src/cluster/HoldersTest.cpp
@@ -11,6 +11,7 @@
 
 std::vector<DaemonRecord> fleet(int Daemons, int Zones) {
   std::vector<DaemonRecord> Result;
+  Result.reserve(static_cast<std::size_t>(Daemons));
   for (int I = 0; I < Daemons; ++I)
     Result.push_back({"entry-" + std::to_string(I), "10.0.0.1", 7440,
                       "zone-" + std::to_string(I % Zones), 1});
--- a/src/entry/Coordinator.cpp
+++ b/src/entry/Coordinator.cpp
@@ -26,6 +26,8 @@
 constexpr Duration RankDelay = std::chrono::milliseconds(60);
 // Reports of peers that are older say nothing.
 constexpr Duration ReportLifetime = std::chrono::milliseconds(1200);
+// Peers are asked no more often than this.
+constexpr Duration MinInterval = std::chrono::milliseconds(250);
 constexpr Duration AskLimit = std::chrono::milliseconds(300);
 constexpr Duration RelinquishLimit = DrainLimit + AskLimit;
 // No daemon's lease lasts longer than this without a renewal.
@@ -56,8 +58,10 @@
 // A daemon that is cut off from the others cannot judge a primary.
 bool Coordinator::seesPeers(Time Now) const {
   std::size_t Seen = 1;
+  const Duration Lifetime =
+      ReportLifetime - MinInterval + Others.slowestInterval();
   for (const auto &[Name, Other] : S.Peers)
-    if (S.Daemons.contains(Name) && Now - Other.Last.Received < ReportLifetime)
+    if (S.Daemons.contains(Name) && Now - Other.Last.Received < Lifetime)
       ++Seen;
   return 2 * Seen >= S.Daemons.size();
 }
@@ -102,7 +106,7 @@
   const Expected<keyvalue::Revision> Written =
       co_await S.Store.commit(std::move(Claim));
   if (!Written) {
-    co_await S.Store.endLease(Grant.value().Id);
+    co_await endLease(Grant.value().Id);
     co_return;
   }
   Duty = cluster::UseLease();
@@ -114,6 +118,13 @@
   S.Log.write(event::DutyTaken, FencingToken);
 }
 
+Task<void> Coordinator::endLease(keyvalue::LeaseId Id) {
+  const Expected<void> Ended = co_await S.Store.endLease(Id);
+  // It ends by itself; others wait that long.
+  if (!Ended)
+    S.Log.write(event::StoreLost, "end lease", Ended.error().Detail);
+}
+
 Task<void> Coordinator::renew() {
   RenewedAt = bootTime();
   const Expected<void> Renewed = co_await S.Store.renew(Duty.id());
@@ -133,7 +144,7 @@
   FencingToken = 0;
   const keyvalue::LeaseId Id = Duty.id();
   Duty.drop();
-  co_await S.Store.endLease(Id);
+  co_await endLease(Id);
 }
 
 change::Cause Coordinator::causeOf(const std::string &Service,
@@ -161,7 +172,11 @@
   Known.Record = Record;
   Known.Members = Members;
   Known.About = About;
-  Known.LiveDaemons = std::max<std::size_t>(1, S.Daemons.size());
+  // Where some daemons hold the connections for all, only they can tell.
+  const auto Holders = S.Holders.find(Service);
+  Known.LiveDaemons = std::max<std::size_t>(1, Holders == S.Holders.end()
+                                                   ? S.Daemons.size()
+                                                   : Holders->second.size());
   const catalog::Member *Primary = Pool.primary();
   Known.NotLeadingSince = Track(NotLeadingSince, Service,
                                 Primary != nullptr && !Primary->ClaimsPrimary);
@@ -438,6 +453,15 @@
   co_return std::nullopt;
 }
 
+Task<void> Coordinator::stepDown(pool::ServicePool &Pool, std::string Service,
+                                 GroupRecord Old) {
+  const Expected<statement::Reply, pool::Loss> Answer =
+      co_await Pool.callMember(
+          Old.Primary, platform::encodeStepDown(Old.PrimaryTerm + 1), AskLimit);
+  S.Log.write(event::ChangeStep, Service, "step down",
+              Answer ? std::string_view(Old.Primary) : "no answer");
+}
+
 Task<bool> Coordinator::change(std::string Service, Cause Why) {
   pool::ServicePool *Pool = pool(Service);
   const GroupRecord Old = Pool->record();
@@ -465,8 +489,7 @@
     }
     // Nobody uses the old primary any more; this spares it a fork of its log.
     if (!Pool->isSuspected(Old.Primary, bootTime()))
-      co_await Pool->callMember(
-          Old.Primary, platform::encodeStepDown(Old.PrimaryTerm + 1), AskLimit);
+      co_await stepDown(*Pool, Service, Old);
     Leader = co_await promote(Service, *Candidate, Old.PrimaryTerm);
   }
   if (!Leader) {
--- a/src/entry/Coordinator.h
+++ b/src/entry/Coordinator.h
@@ -50,6 +50,9 @@
   selectCandidate(std::string Service, std::string Old);
   runtime::Task<std::optional<change::MemberReport>>
   promote(std::string Service, change::MemberReport Candidate, Term OldTerm);
+  runtime::Task<void> endLease(keyvalue::LeaseId Id);
+  runtime::Task<void> stepDown(pool::ServicePool &Pool, std::string Service,
+                               cluster::GroupRecord Old);
   pool::ServicePool *pool(const std::string &Service);
 
   State &S;
--- a/src/entry/Executor.cpp
+++ b/src/entry/Executor.cpp
@@ -111,7 +111,8 @@
     if (const std::uint64_t Left = Lines.takeSuppressed())
       Log.write(event::LinesSuppressed, Left);
     const catalog::Route *Found = route(Database);
-    const std::string_view Service = Found ? Found->Service : "";
+    const std::string_view Service =
+        Found ? std::string_view(Found->Service) : std::string_view();
     const ServicePool *Pool = pool(Service);
     Log.write(event::RequestRefused, St.Id, Database, Service,
               statement::name(Code), Reason, Member,
--- a/src/keyvalue/StoreClient.h
+++ b/src/keyvalue/StoreClient.h
@@ -48,8 +48,8 @@
   std::uint64_t calls() const { return Calls; }
 
 private:
-  runtime::Task<Expected<http::Response>>
-  call(http::Request Call, Duration Limit, bool Repeatable);
+  runtime::Task<Expected<http::Response>> call(http::Request Call,
+                                               Duration Limit, bool Repeatable);
 
   http::HttpClient Direct;
   Relay Through;
--- a/src/pool/ServicePool.cpp
+++ b/src/pool/ServicePool.cpp
@@ -362,7 +362,7 @@
   while (std::optional<admission::Ticket> Next = Queue.popIf(CanRun, Now)) {
     Queue.finish(Next->Id);
     Waiter *Owner = Waiters.at(Next->Id);
-    Owner->Given = std::move(Free);
+    Owner->Given = std::exchange(Free, std::nullopt);
     Owner->Ready.notify();
   }
   Waking = false;
