Limit the statements in work at a member; serve short work first

Cause: on the grown site a service has four daemons that hold its connections, each with eight or more to the primary. In the daemon's own queue two databases of equal priority took turns, although one has four times the requests and half the work each: when both replicas of a service lag and the primary cannot do everything, that serves the fewest.

Change: a daemon has at most its share of twice the member's slots in work there, or what others leave of them; connections of transactions that wait for their caller do not count. Within a priority the queue serves the shortest expected work first; callers with equal work take turns as before. The work is measured for each database while the member has a free slot.

Two cases of PlacementTest used 9 and 30 statements in work at the primary to show that it is chosen all the same; they use 5 now, since beyond the limit waiting is right, which new cases check.

Tests: 4 new in AdmissionQueueTest, 3 in PlacementTest.

--- a/src/admission/AdmissionQueue.cpp
+++ b/src/admission/AdmissionQueue.cpp
@@ -85,8 +85,12 @@
   CallerState &Owner = Callers[Request.Caller];
   Level &At = Levels[Request.Priority];
   Share &Waiting = Owner.Shares[Request.Priority];
-  if (Waiting.empty())
-    At.Round.push_back(Waiting);
+  if (!Waiting.empty() && Waiting.Work != Request.Work)
+    At.Round.erase(At.Round.iterator_to(Waiting));
+  if (!Waiting.InRound.is_linked()) {
+    Waiting.Work = Request.Work;
+    enqueue(At.Round, Waiting);
+  }
   ++Owner.InFlight;
   QueuedBytes += Request.Bytes;
   At.Bytes += Request.Bytes;
@@ -98,6 +102,14 @@
   At.Arrivals.push_back(Queued);
 }
 
+// When not all can be served in time, short work first serves the most.
+void AdmissionQueue::enqueue(RoundList &Round, Share &Waiting) {
+  auto Position = Round.end();
+  while (Position != Round.begin() && std::prev(Position)->Work > Waiting.Work)
+    --Position;
+  Round.insert(Position, Waiting);
+}
+
 std::optional<Ticket>
 AdmissionQueue::popIf(absl::FunctionRef<bool(const Ticket &)> CanRun,
                       Time Now) {
@@ -106,9 +118,10 @@
       Entry *Found = candidate(Waiting, CanRun, Now);
       if (Found == nullptr)
         continue;
-      // The served caller goes to the end of the round; those that were passed
-      // over keep their turn.
-      At.Round.splice(At.Round.end(), At.Round, At.Round.iterator_to(Waiting));
+      // The served caller goes behind those with equal work; those that were
+      // passed over keep their turn.
+      At.Round.erase(At.Round.iterator_to(Waiting));
+      enqueue(At.Round, Waiting);
       Running.emplace(Found->Request.Id, Found->Request.Caller);
       return detach(*Found);
     }
--- a/src/admission/AdmissionQueue.h
+++ b/src/admission/AdmissionQueue.h
@@ -35,6 +35,8 @@
   /// Requests of different lanes do not hold each other up, for example a read
   /// that a replica can answer behind a write that waits for a primary.
   std::uint32_t Lane = 0;
+  /// Expected time at the endpoint; zero if unknown.
+  Duration Work{};
 };
 
 enum class Rejection { QueueFull, BytesFull, CallerLimit, DeadlinePassed };
@@ -53,9 +55,10 @@
   std::vector<Ticket> Displaced;
 };
 
-/// Bounded queue of requests with priorities and, within a priority, round
-/// robin between callers. A caller's requests of one priority and lane are
-/// served in order of arrival. Not thread-safe.
+/// Bounded queue of requests with priorities and, within a priority, the
+/// shortest expected work first. Callers with equal work take turns. A caller's
+/// requests of one priority and lane are served in order of arrival. Not
+/// thread-safe.
 class AdmissionQueue {
 public:
   static constexpr std::size_t Priorities = 10;
@@ -119,6 +122,8 @@
   /// The tickets of one caller in one priority.
   struct Share {
     std::array<LaneList, Lanes> ByLane;
+    /// Of the newest ticket.
+    Duration Work{};
     Hook InRound;
 
     bool empty() const;
@@ -132,7 +137,7 @@
   };
 
   struct Level {
-    /// Callers with tickets, the next to be served first.
+    /// Callers with tickets by their work, the next to be served first.
     RoundList Round;
     ArrivalList Arrivals;
     std::size_t Bytes = 0;
@@ -143,6 +148,7 @@
   std::optional<Rejection> roomAfterDisplacing(const Ticket &Request) const;
   std::vector<Ticket> displaceFor(const Ticket &Request);
   void insert(Ticket Request);
+  static void enqueue(RoundList &Round, Share &Waiting);
   static Entry *candidate(Share &Waiting,
                           absl::FunctionRef<bool(const Ticket &)> CanRun,
                           Time Now);
--- a/src/admission/AdmissionQueueTest.cpp
+++ b/src/admission/AdmissionQueueTest.cpp
@@ -33,6 +33,10 @@
   CPPUNIT_TEST_SUITE(AdmissionQueueTest);
   CPPUNIT_TEST(servesPrioritiesInOrder);
   CPPUNIT_TEST(servesCallersOfOnePriorityInTurn);
+  CPPUNIT_TEST(servesTheCallerWithTheShortestWorkFirst);
+  CPPUNIT_TEST(callersWithEqualWorkTakeTurnsAheadOfLongerWork);
+  CPPUNIT_TEST(aCallerWhoseWorkGrewIsServedLater);
+  CPPUNIT_TEST(priorityGoesBeforeShortWork);
   CPPUNIT_TEST(floodOfOneCallerDoesNotDelayAnother);
   CPPUNIT_TEST(callerThatWasPassedOverKeepsItsTurn);
   CPPUNIT_TEST(blockedHeadOfOneLaneDoesNotHoldUpTheOther);
@@ -73,6 +77,43 @@
     CPPUNIT_ASSERT(popAll(Large) == std::vector<TicketId>({1, 4, 5, 2, 6, 3}));
   }
 
+  static Ticket working(TicketId Id, std::string Caller, int WorkMs,
+                        std::uint32_t Priority = 5) {
+    Ticket Request = ticket(Id, std::move(Caller), Priority);
+    Request.Work = milliseconds(WorkMs);
+    return Request;
+  }
+
+  void servesTheCallerWithTheShortestWorkFirst() {
+    push(Large, working(1, "long", 30));
+    push(Large, working(2, "short", 18));
+    push(Large, working(3, "long", 30));
+    push(Large, working(4, "short", 18));
+    CPPUNIT_ASSERT(popAll(Large) == std::vector<TicketId>({2, 4, 1, 3}));
+  }
+
+  void callersWithEqualWorkTakeTurnsAheadOfLongerWork() {
+    push(Large, working(1, "long", 30));
+    push(Large, working(2, "a", 18));
+    push(Large, working(3, "a", 18));
+    push(Large, working(4, "b", 18));
+    push(Large, working(5, "b", 18));
+    CPPUNIT_ASSERT(popAll(Large) == std::vector<TicketId>({2, 4, 3, 5, 1}));
+  }
+
+  void aCallerWhoseWorkGrewIsServedLater() {
+    push(Large, working(1, "a", 10));
+    push(Large, working(2, "b", 20));
+    push(Large, working(3, "a", 30));
+    CPPUNIT_ASSERT(popAll(Large) == std::vector<TicketId>({2, 1, 3}));
+  }
+
+  void priorityGoesBeforeShortWork() {
+    push(Large, working(1, "short", 1, 2));
+    push(Large, working(2, "urgent", 30, 1));
+    CPPUNIT_ASSERT(popAll(Large) == std::vector<TicketId>({2, 1}));
+  }
+
   void floodOfOneCallerDoesNotDelayAnother() {
     for (TicketId Id = 1; Id <= 5000; ++Id)
       push(Large, ticket(Id, "flood"));
--- a/src/entry/Executor.cpp
+++ b/src/entry/Executor.cpp
@@ -353,7 +353,10 @@
     const Checkout Over = std::move(Place).value();
     const Duration Limit = attemptLimit(Route, !Writes, Pool->usualLatency(),
                                         Deadline, bootTime());
+    const Time SentAt = bootTime();
     Attempt Result = co_await runOn(Over, S, *Pool, St, Limit, Over.After);
+    if (Over.SlotFree && Result && Result.value().succeeded())
+      Pool->addWork(S.Database, bootTime() - SentAt);
     const bool Entitled =
         !Over.OnPrimary || Pool->mayAcknowledge(Over.Epoch, bootTime());
     if (Result && Result.value().State != None)
@@ -451,6 +454,8 @@
         endAtEndpoint(S, true);
         S.Tx = Transaction();
         Answer.State = TransactionState::None;
+      } else {
+        Pool->rest(Over);
       }
       co_return Answer;
     }
@@ -511,6 +516,7 @@
   const bool Writes = writes(S, St);
   // Set before it is sent: what may have run counts as written.
   S.Tx.Wrote = S.Tx.Wrote || Writes;
+  Pool->resume(Over);
   Attempt Result = co_await runOn(Over, S, *Pool, St, Limit, std::nullopt);
   const bool Entitled =
       !Over.OnPrimary || Pool->mayAcknowledge(Over.Epoch, bootTime());
@@ -519,6 +525,7 @@
     if (Result.value().State == TransactionState::Open) {
       if (!Writes)
         Metrics.addRead(Over.OnPrimary);
+      Pool->rest(Over);
       co_return std::move(Result).value();
     }
     // The endpoint no longer holds the transaction.
@@ -537,6 +544,7 @@
   const Checkout Over = *S.Tx.On;
   const bool Wrote = S.Tx.Wrote;
   const Duration Limit = Arrival + S.Tx.Route.Timeout - bootTime();
+  Pool->resume(Over);
   Attempt Result = co_await runOn(Over, S, *Pool, St, Limit, std::nullopt);
   const bool Entitled =
       !Over.OnPrimary || Pool->mayAcknowledge(Over.Epoch, bootTime());
--- a/src/pool/LatencyEstimate.h
+++ b/src/pool/LatencyEstimate.h
@@ -10,6 +10,7 @@
 class LatencyEstimate {
 public:
   void add(Duration Sample);
+  Duration mean() const { return Mean; }
   /// Nearly all answers come within this time.
   Duration limit() const { return Mean + DeviationFactor * Deviation; }
 
--- a/src/pool/Placement.cpp
+++ b/src/pool/Placement.cpp
@@ -13,6 +13,8 @@
 constexpr double OtherZonePenalty = 0.05;
 // Opening a connection takes about as long as a statement.
 constexpr double OpeningPenalty = 0.7;
+// Keeps the slots busy while answers and the next statements travel.
+constexpr std::uint32_t InFlightPerSlot = 2;
 // A replica that lacked the position this long ago may have it by now.
 constexpr Duration LagMemory = std::chrono::milliseconds(150);
 
@@ -31,7 +33,8 @@
 bool canRun(const MemberLoad &M, const Demand &D,
             std::optional<Position> Required, Time Now) {
   if (!M.Usable || (M.Excluded && !M.Primary) ||
-      !(M.HasIdleConnection || M.CanOpenConnection))
+      !(M.HasIdleConnection || M.CanOpenConnection) ||
+      M.OwnInFlight >= concurrencyLimit(M.Slots, M.Sharers, M.OthersInFlight))
     return false;
   if (M.Primary)
     return true;
@@ -53,6 +56,18 @@
   return Covering;
 }
 
+// What others told is old: each daemon has its share of the member whatever
+// they use.
+std::uint32_t concurrencyLimit(std::uint32_t Slots, std::size_t Sharers,
+                               std::uint32_t OthersInFlight) {
+  const std::uint32_t Total =
+      InFlightPerSlot * std::max<std::uint32_t>(1, Slots);
+  const auto Daemons =
+      static_cast<std::uint32_t>(std::max<std::size_t>(1, Sharers));
+  const std::uint32_t Share = (Total + Daemons - 1) / Daemons;
+  return std::max(Share, Total - std::min(Total, OthersInFlight));
+}
+
 std::optional<Place> choosePlace(std::span<const MemberLoad> Members,
                                  const Demand &D,
                                  std::optional<Position> Required, Time Now) {
--- a/src/pool/Placement.h
+++ b/src/pool/Placement.h
@@ -38,6 +38,8 @@
   bool HasIdleConnection = false;
   bool CanOpenConnection = false;
   std::uint32_t Slots = 1;
+  /// Daemons that place statements at the member.
+  std::size_t Sharers = 1;
   /// Statements in work of this daemon, and as others last told.
   std::uint32_t OwnInFlight = 0;
   std::uint32_t OthersInFlight = 0;
@@ -62,6 +64,11 @@
                                         std::optional<Position> Covering,
                                         std::uint64_t Epoch);
 
+/// Statements that one daemon may have in work at a member. More would wait at
+/// the member in the order of their arrival, ahead of what is urgent.
+std::uint32_t concurrencyLimit(std::uint32_t Slots, std::size_t Sharers,
+                               std::uint32_t OthersInFlight);
+
 /// Chooses a member, or none if the statement must wait. Required: the result
 /// of replicaPosition.
 std::optional<Place> choosePlace(std::span<const MemberLoad> Members,
--- a/src/pool/PlacementTest.cpp
+++ b/src/pool/PlacementTest.cpp
@@ -34,6 +34,9 @@
   CPPUNIT_TEST(aReplicaKnownToLagIsPassedOver);
   CPPUNIT_TEST(aReplicaThatLaggedLongAgoIsAskedAgain);
   CPPUNIT_TEST(theWorkOfOtherDaemonsCounts);
+  CPPUNIT_TEST(aFullMemberMakesStatementsWait);
+  CPPUNIT_TEST(aDaemonHasItsShareOfAMemberThatOthersFill);
+  CPPUNIT_TEST(aDaemonMayUseWhatOthersLeave);
   CPPUNIT_TEST(equalReplicasAreTakenInTheOwnZone);
   CPPUNIT_TEST(anExcludedReplicaIsPassedOver);
   CPPUNIT_TEST(anUnusablePrimaryMakesWritesWait);
@@ -60,10 +63,27 @@
     return Place->Member;
   }
 
+  void aFullMemberMakesStatementsWait() {
+    Demand Write;
+    Write.NeedsPrimary = true;
+    Members[0].OwnInFlight = 2 * Members[0].Slots;
+    CPPUNIT_ASSERT(!choosePlace(Members, Write, std::nullopt, Now));
+  }
+
+  void aDaemonHasItsShareOfAMemberThatOthersFill() {
+    CPPUNIT_ASSERT_EQUAL(2U, concurrencyLimit(3, 4, 30));
+    CPPUNIT_ASSERT_EQUAL(1U, concurrencyLimit(2, 8, 30));
+  }
+
+  void aDaemonMayUseWhatOthersLeave() {
+    CPPUNIT_ASSERT_EQUAL(6U, concurrencyLimit(3, 4, 0));
+    CPPUNIT_ASSERT_EQUAL(4U, concurrencyLimit(3, 4, 2));
+  }
+
   void writesGoToThePrimaryOnly() {
     Demand Write;
     Write.NeedsPrimary = true;
-    Members[0].OwnInFlight = 30;
+    Members[0].OwnInFlight = 5;
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), chosen(Write, std::nullopt));
   }
 
@@ -79,7 +99,7 @@
   }
 
   void readsWithoutAKnownPositionNeedThePrimary() {
-    Members[0].OwnInFlight = 9;
+    Members[0].OwnInFlight = 5;
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), chosen(Read, std::nullopt));
   }
 
--- a/src/pool/ServicePool.cpp
+++ b/src/pool/ServicePool.cpp
@@ -184,7 +184,8 @@
   L.HasIdleConnection = !M.Idle.empty();
   L.CanOpenConnection = M.Budget.mayOpen(Connections, connectionLimit(), Now);
   L.Slots = M.Info.Slots;
-  L.OwnInFlight = M.InFlight;
+  L.Sharers = SharingDaemons;
+  L.OwnInFlight = M.inFlight();
   L.OthersInFlight = M.OthersInFlight;
   L.Applied = M.Applied;
   L.AppliedSeen = M.AppliedSeen;
@@ -221,9 +222,10 @@
   Connection Link = takeIdle(M);
   if (!Link)
     return std::nullopt;
+  const bool SlotFree = M.inFlight() + M.OthersInFlight < M.Info.Slots;
   M.Busy.insert(Link);
-  ++M.InFlight;
-  return Checkout{std::move(Link), Chosen.After, isPrimary(M), Record.Epoch};
+  return Checkout{std::move(Link), Chosen.After, isPrimary(M), Record.Epoch,
+                  SlotFree};
 }
 
 Connection ServicePool::takeIdle(MemberState &M) {
@@ -310,6 +312,9 @@
   Ticket.Priority = Priority;
   Ticket.Deadline = Deadline;
   Ticket.Lane = Self.D.NeedsPrimary ? PrimaryLane : ReplicaLane;
+  if (const auto Known = WorkByDatabase.find(Database);
+      Known != WorkByDatabase.end())
+    Ticket.Work = Known->second.mean();
   const admission::TicketId Id = Ticket.Id;
   Expected<admission::Admitted, admission::Rejection> Admitted =
       Queue.push(std::move(Ticket), MaxWaiting, Now);
@@ -368,6 +373,27 @@
   Waking = false;
 }
 
+void ServicePool::rest(const Checkout &Pinned) {
+  MemberState *M = find(Pinned.Link->member());
+  if (M == nullptr || !M->Busy.contains(Pinned.Link))
+    return;
+  M->Resting.insert(Pinned.Link);
+  wake(bootTime());
+}
+
+void ServicePool::resume(const Checkout &Pinned) {
+  if (MemberState *M = find(Pinned.Link->member()))
+    M->Resting.erase(Pinned.Link);
+}
+
+void ServicePool::addWork(std::string_view Database, Duration Took) {
+  const auto Known = WorkByDatabase.find(Database);
+  if (Known == WorkByDatabase.end())
+    WorkByDatabase.emplace(Database, LatencyEstimate()).first->second.add(Took);
+  else
+    Known->second.add(Took);
+}
+
 void ServicePool::release(const Checkout &Used) {
   const Time Now = bootTime();
   MemberState *M = find(Used.Link->member());
@@ -375,7 +401,7 @@
     Used.Link->close();
     return;
   }
-  --M->InFlight;
+  M->Resting.erase(Used.Link);
   const bool Keep = M->Registered && Used.Link->isOpen() &&
                     !(M->Info.Leaving && !isPrimary(*M));
   if (Keep) {
@@ -422,7 +448,7 @@
   const std::string Old = Record.Primary;
   const auto HasWork = [&] {
     const MemberState *M = find(Old);
-    return M != nullptr && M->InFlight > 0;
+    return M != nullptr && !M->Busy.empty();
   };
   while (Record.Epoch <= Epoch && !Record.Changing && HasWork() &&
          bootTime() - Start < Limit)
@@ -551,14 +577,15 @@
 std::map<std::string, std::uint32_t> ServicePool::inFlight() const {
   std::map<std::string, std::uint32_t> Result;
   for (const auto &[Id, M] : Members)
-    if (M.InFlight > 0)
-      Result.emplace(Id, M.InFlight);
+    if (M.inFlight() > 0)
+      Result.emplace(Id, M.inFlight());
   return Result;
 }
 
 void ServicePool::setOthersInFlight(std::map<std::string, std::uint32_t> Sum) {
   for (auto &[Id, M] : Members)
     M.OthersInFlight = Sum.contains(Id) ? Sum[Id] : 0;
+  wake(bootTime());
 }
 
 std::optional<freshness::PrimaryPositions::Sample>
--- a/src/pool/ServicePool.h
+++ b/src/pool/ServicePool.h
@@ -48,6 +48,8 @@
   bool OnPrimary = false;
   /// The epoch in which the primary was chosen.
   std::uint64_t Epoch = 0;
+  /// The member had a free slot, as far as known.
+  bool SlotFree = false;
 };
 
 /// Why a statement was not placed.
@@ -95,9 +97,15 @@
   runtime::Task<Expected<Checkout, Refusal>>
   acquire(Demand D, std::string_view Database, std::uint32_t Priority,
           Time GiveUp, Time Deadline);
+  /// Between the statements of a transaction its connection takes no slot.
+  void rest(const Checkout &Pinned);
+  void resume(const Checkout &Pinned);
   /// Gives a connection back; a closed one is replaced on demand.
   void release(const Checkout &Used);
 
+  /// Learns how long statements on this database take at a free member.
+  void addWork(std::string_view Database, Duration Took);
+
   /// Sends a request of a statement and learns from the answer.
   runtime::Task<Expected<statement::Reply, Loss>>
   call(const Checkout &Over, std::string Bytes, Duration Limit);
@@ -142,8 +150,9 @@
     bool Registered = true;
     std::vector<Connection> Idle;
     std::set<Connection> Busy;
+    /// Those of Busy whose transaction waits for its caller.
+    std::set<Connection> Resting;
     std::uint32_t Opening = 0;
-    std::uint32_t InFlight = 0;
     std::uint32_t OthersInFlight = 0;
     Position Applied;
     Time AppliedSeen;
@@ -152,6 +161,10 @@
     bool ReportedSuspected = false;
     MemberHealth Health;
     ConnectionBudget Budget;
+
+    std::uint32_t inFlight() const {
+      return static_cast<std::uint32_t>(Busy.size() - Resting.size());
+    }
   };
   struct Waiter;
 
@@ -192,6 +205,7 @@
   std::map<std::string, MemberState, std::less<>> Members;
   freshness::PrimaryPositions Positions;
   LatencyEstimate Latency;
+  std::map<std::string, LatencyEstimate, std::less<>> WorkByDatabase;
   admission::AdmissionQueue Queue;
   std::map<admission::TicketId, Waiter *> Waiters;
   admission::TicketId LastTicket = 0;
