Close idle callers when the daemon that holds their session ends

Cause: a daemon that stops closes the idle sessions that others forward to it. The forwarding daemon noticed only when its caller sent the next statement, which it then had to refuse.

Change: a forwarding daemon waits for the end of the forwarded connection and then closes the caller's connection if it has nothing outstanding; callers connect again and nothing of theirs has failed. It does so too when the holder no longer answers its peers. A caller in a transaction is told with its next statement, as before.

FakeMember moved from ExecutorTest into a header of its own.

--- a/src/entry/CallerConnection.cpp
+++ b/src/entry/CallerConnection.cpp
@@ -32,6 +32,19 @@
   return Waiting && Buffer.empty() && !isInTransaction();
 }
 
+// What the session held is lost with its holder; a caller that has nothing
+// outstanding only has to connect again. One in a transaction is told with its
+// next statement.
+void CallerConnection::endWithHolder() {
+  if (isIdle())
+    close();
+}
+
+void CallerConnection::leaveHolder(std::string_view Daemon) {
+  if (Holder && Holder->member() == Daemon)
+    endWithHolder();
+}
+
 void CallerConnection::close() {
   error_code Ignored;
   Socket.close(Ignored);
@@ -105,6 +118,11 @@
   }
   if (Forwarder != nullptr) {
     Holder = co_await Forwarder->openSession(Route->Service, Own.Database);
+    if (Holder)
+      Holder->notifyWhenEnded([Weak = weak_from_this()] {
+        if (const auto Self = Weak.lock())
+          Self->endWithHolder();
+      });
   } else if (S.Stopping) {
     co_await write(
         platform::encodeFatalError(ErrorCode::Busy, "the proxy is stopping"));
--- a/src/entry/CallerConnection.h
+++ b/src/entry/CallerConnection.h
@@ -29,6 +29,8 @@
     return Own.Tx.At != Transaction::Phase::None ||
            HolderState != statement::TransactionState::None;
   }
+  /// Closes it if it is idle and its holder is the daemon.
+  void leaveHolder(std::string_view Daemon);
   /// Closes it; a statement in work is not answered.
   void close();
 
@@ -39,6 +41,7 @@
   runtime::Task<bool> start();
   runtime::Task<bool> serveOne();
   runtime::Task<const catalog::Route *> waitForRoute();
+  void endWithHolder();
 
   runtime::Task<statement::Reply> forward(const statement::Statement &St,
                                           std::string_view Text, Time Arrival);
--- a/src/entry/Daemon.cpp
+++ b/src/entry/Daemon.cpp
@@ -6,6 +6,7 @@
 #include "runtime/Clock.h"
 
 #include <csignal>
+#include <utility>
 
 namespace borageridge::entry {
 namespace {
@@ -171,6 +172,7 @@
     Sessions.tick();
     for (const auto &[Name, Pool] : S.ByService)
       Pool->tick(Now);
+    leaveLostPeers();
     if (!WasReady && isReady(Now)) {
       WasReady = true;
       Log.write(event::Ready, S.Runner.catalog().Version, S.ByService.size());
@@ -179,6 +181,13 @@
   }
 }
 
+void Daemon::leaveLostPeers() {
+  const auto Open = S.LostPeers.empty() ? decltype(Callers)() : Callers;
+  for (const std::string &Name : std::exchange(S.LostPeers, {}))
+    for (const auto &Caller : Open)
+      Caller->leaveHolder(Name);
+}
+
 Task<void> Daemon::handleSignals() {
   runtime::asio::signal_set Signals(Io, SIGTERM, SIGINT, SIGHUP);
   for (;;) {
--- a/src/entry/Daemon.h
+++ b/src/entry/Daemon.h
@@ -38,6 +38,7 @@
   runtime::Task<void> handleSignals();
   runtime::Task<void> stop();
   void closeCallers(Duration Since);
+  void leaveLostPeers();
   bool isReady(Time Now) const;
   http::Response answerReadiness(const http::Request &Call);
   http::Response answerMetrics(const http::Request &Call);
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -123,9 +123,10 @@
   Peer &Other = Found->second;
   if (Answer.has_value() == Other.Lost) {
     Other.Lost = !Other.Lost;
-    if (Other.Lost)
+    if (Other.Lost) {
+      S.LostPeers.push_back(Name);
       S.Log.write(event::PeerLost, Name, Answer.error().Detail);
-    else
+    } else
       S.Log.write(event::PeerSeen, Name);
   }
   if (Answer)
--- a/src/entry/ExecutorTest.cpp
+++ b/src/entry/ExecutorTest.cpp
@@ -1,21 +1,16 @@
 #include "entry/Executor.h"
 
+#include "entry/FakeMember.h"
 #include "runtime/Clock.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <algorithm>
-#include <functional>
 #include <sstream>
 
 namespace borageridge::entry {
 namespace {
 
-using runtime::error_code;
 using runtime::Task;
-using runtime::tcp;
-using runtime::asio::redirect_error;
-using runtime::asio::use_awaitable;
 using statement::ErrorCode;
 using statement::Reply;
 using statement::Statement;
@@ -23,83 +18,6 @@
 using statement::TransactionState;
 using std::chrono::milliseconds;
 
-constexpr std::string_view Success = "COMPLETE 7.1\r\nREADY I 1.5\r\n";
-constexpr std::string_view InTransaction = "COMPLETE 7.1\r\nREADY T 1.5\r\n";
-constexpr std::string_view CloseConnection = "close";
-
-// A member on a loopback socket that answers as the test says.
-class FakeMember {
-public:
-  struct Request {
-    int Connection;
-    std::string Text;
-  };
-  /// Returns the bytes to send, nothing for silence, or CloseConnection.
-  using Script = std::function<std::string_view(const std::string &Text)>;
-
-  FakeMember(runtime::asio::io_context &Context, std::string Name)
-      : Io(Context), Id(std::move(Name)),
-        Acceptor(Context,
-                 tcp::endpoint(runtime::asio::ip::address_v4::loopback(), 0)) {
-    runtime::spawn(Io, accept());
-  }
-
-  catalog::Member info() const {
-    catalog::Member M;
-    M.Id = Id;
-    M.Service = "db";
-    M.Address = "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
-    M.Slots = 3;
-    return M;
-  }
-
-  std::size_t count(std::string_view Part) const {
-    return static_cast<std::size_t>(
-        std::count_if(Requests.begin(), Requests.end(), [&](const Request &R) {
-          return R.Text.find(Part) != std::string::npos;
-        }));
-  }
-
-  Script Answer = [](const std::string &Text) {
-    return Text.find("BEGIN") != std::string::npos ? InTransaction : Success;
-  };
-  std::vector<Request> Requests;
-
-private:
-  Task<void> accept() {
-    for (int Number = 0;; ++Number)
-      runtime::spawn(
-          Io, serve(co_await Acceptor.async_accept(use_awaitable), Number));
-  }
-
-  Task<void> serve(tcp::socket Socket, int Number) {
-    std::string Buffer;
-    for (;;) {
-      error_code Error;
-      const std::size_t Size = co_await runtime::asio::async_read_until(
-          Socket, runtime::asio::dynamic_buffer(Buffer), "\r\n",
-          redirect_error(use_awaitable, Error));
-      if (Error)
-        co_return;
-      const std::string Text = Buffer.substr(0, Size - 2);
-      Buffer.erase(0, Size);
-      std::string Bytes = "READY I 1.5\r\n";
-      if (!Text.starts_with("START")) {
-        Requests.push_back({Number, Text});
-        Bytes = Answer(Text);
-      }
-      if (Bytes == CloseConnection)
-        co_return;
-      co_await runtime::asio::async_write(Socket, runtime::asio::buffer(Bytes),
-                                          redirect_error(use_awaitable, Error));
-    }
-  }
-
-  runtime::asio::io_context &Io;
-  std::string Id;
-  tcp::acceptor Acceptor;
-};
-
 Statement make(StatementKind Kind, const std::string &Text) {
   Statement S;
   S.Id = "q1";
--- /dev/null
+++ b/src/entry/FakeMember.h
@@ -0,0 +1,115 @@
+#ifndef BORAGERIDGE_ENTRY_FAKEMEMBER_H
+#define BORAGERIDGE_ENTRY_FAKEMEMBER_H
+
+#include "catalog/Catalog.h"
+#include "runtime/Async.h"
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace borageridge::entry {
+
+inline constexpr std::string_view Success = "COMPLETE 7.1\r\nREADY I 1.5\r\n";
+inline constexpr std::string_view InTransaction =
+    "COMPLETE 7.1\r\nREADY T 1.5\r\n";
+inline constexpr std::string_view CloseConnection = "close";
+
+/// A member on a loopback socket that answers as the test says. Another daemon
+/// that holds connections looks the same to the one that forwards to it.
+class FakeMember {
+public:
+  struct Request {
+    int Connection;
+    std::string Text;
+  };
+  /// Returns the bytes to send, nothing for silence, or CloseConnection.
+  using Script = std::function<std::string_view(const std::string &Text)>;
+
+  FakeMember(runtime::asio::io_context &Context, std::string Name)
+      : Io(Context), Id(std::move(Name)),
+        Acceptor(Context, runtime::tcp::endpoint(
+                              runtime::asio::ip::address_v4::loopback(), 0)) {
+    runtime::spawn(Io, accept());
+  }
+
+  std::uint16_t port() const { return Acceptor.local_endpoint().port(); }
+
+  /// Closes all connections.
+  void closeConnections() {
+    for (const auto &Open : Sockets)
+      if (const auto Socket = Open.lock())
+        Socket->close();
+    Sockets.clear();
+  }
+
+  catalog::Member info() const {
+    catalog::Member M;
+    M.Id = Id;
+    M.Service = "db";
+    M.Address = "127.0.0.1:" + std::to_string(port());
+    M.Slots = 3;
+    return M;
+  }
+
+  std::size_t count(std::string_view Part) const {
+    return static_cast<std::size_t>(
+        std::count_if(Requests.begin(), Requests.end(), [&](const Request &R) {
+          return R.Text.find(Part) != std::string::npos;
+        }));
+  }
+
+  Script Answer = [](const std::string &Text) {
+    return Text.find("BEGIN") != std::string::npos ? InTransaction : Success;
+  };
+  std::vector<Request> Requests;
+
+private:
+  runtime::Task<void> accept() {
+    for (int Number = 0;; ++Number) {
+      const auto Socket = std::make_shared<runtime::tcp::socket>(
+          co_await Acceptor.async_accept(runtime::asio::use_awaitable));
+      Sockets.push_back(Socket);
+      runtime::spawn(Io, serve(Socket, Number));
+    }
+  }
+
+  runtime::Task<void> serve(std::shared_ptr<runtime::tcp::socket> Socket,
+                            int Number) {
+    std::string Buffer;
+    for (;;) {
+      runtime::error_code Error;
+      const std::size_t Size = co_await runtime::asio::async_read_until(
+          *Socket, runtime::asio::dynamic_buffer(Buffer), "\r\n",
+          runtime::asio::redirect_error(runtime::asio::use_awaitable, Error));
+      if (Error)
+        co_return;
+      const std::string Text = Buffer.substr(0, Size - 2);
+      Buffer.erase(0, Size);
+      std::string Bytes = "READY I 1.5\r\n";
+      if (!Text.starts_with("START")) {
+        Requests.push_back({Number, Text});
+        Bytes = Answer(Text);
+      }
+      if (Bytes == CloseConnection) {
+        Socket->close();
+        co_return;
+      }
+      co_await runtime::asio::async_write(
+          *Socket, runtime::asio::buffer(Bytes),
+          runtime::asio::redirect_error(runtime::asio::use_awaitable, Error));
+    }
+  }
+
+  runtime::asio::io_context &Io;
+  std::string Id;
+  runtime::tcp::acceptor Acceptor;
+  std::vector<std::weak_ptr<runtime::tcp::socket>> Sockets;
+};
+
+} // namespace borageridge::entry
+
+#endif // BORAGERIDGE_ENTRY_FAKEMEMBER_H
--- a/src/entry/State.h
+++ b/src/entry/State.h
@@ -75,6 +75,8 @@
   std::map<std::string, std::vector<std::string>> Holders;
   /// The entry of the daemon that may promote; revision 0: none.
   keyvalue::Item Promoter;
+  /// Daemons that stopped answering; their sessions are to be left.
+  std::vector<std::string> LostPeers;
   bool Loaded = false;
   bool Stopping = false;
   std::size_t Sessions = 0;
--- a/src/pool/EndpointConnection.cpp
+++ b/src/pool/EndpointConnection.cpp
@@ -4,6 +4,8 @@
 
 #include <sys/socket.h>
 
+#include <utility>
+
 namespace borageridge::pool {
 namespace {
 
@@ -90,8 +92,8 @@
   co_return Failure{FailureKind::Unavailable, "no answer to the start"};
 }
 
-Task<Expected<Reply, Loss>> EndpointConnection::call(std::string Bytes,
-                                                     Duration Limit) {
+Task<Expected<Reply, Loss>> EndpointConnection::exchange(std::string Bytes,
+                                                         Duration Limit) {
   if (!isQuiet()) {
     close();
     co_return Loss::NotSent;
@@ -107,4 +109,44 @@
   co_return co_await collect();
 }
 
+Task<Expected<Reply, Loss>> EndpointConnection::call(std::string Bytes,
+                                                     Duration Limit) {
+  Calling = true;
+  Expected<Reply, Loss> Answer = co_await exchange(std::move(Bytes), Limit);
+  Calling = false;
+  if (OnEnd)
+    awaitEnd();
+  co_return Answer;
+}
+
+void EndpointConnection::notifyWhenEnded(std::function<void()> Ended) {
+  OnEnd = std::move(Ended);
+  awaitEnd();
+}
+
+// The bytes of an answer wake the wait as well, during the call or right after
+// it.
+void EndpointConnection::awaitEnd() {
+  if (AwaitsEnd || !Socket.is_open())
+    return;
+  AwaitsEnd = true;
+  Socket.async_wait(runtime::tcp::socket::wait_read,
+                    [Weak = weak_from_this()](const error_code &Error) {
+                      const Connection Self = Weak.lock();
+                      if (!Self)
+                        return;
+                      Self->AwaitsEnd = false;
+                      if (Error || Self->Calling)
+                        return;
+                      if (Self->isQuiet()) {
+                        Self->awaitEnd();
+                        return;
+                      }
+                      Self->close();
+                      if (const auto Ended =
+                              std::exchange(Self->OnEnd, nullptr))
+                        Ended();
+                    });
+}
+
 } // namespace borageridge::pool
--- a/src/pool/EndpointConnection.h
+++ b/src/pool/EndpointConnection.h
@@ -7,6 +7,7 @@
 #include "statement/ConnectionState.h"
 #include "statement/Statement.h"
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -22,7 +23,8 @@
 };
 
 /// One connection to an endpoint; answers one request at a time.
-class EndpointConnection {
+class EndpointConnection
+    : public std::enable_shared_from_this<EndpointConnection> {
 public:
   EndpointConnection(runtime::asio::io_context &Io, std::string Member);
 
@@ -41,6 +43,9 @@
   bool isOpen() const { return Socket.is_open(); }
   void close();
 
+  /// Calls Ended once if the endpoint ends the connection between two calls.
+  void notifyWhenEnded(std::function<void()> Ended);
+
   const std::string &member() const { return Member; }
   statement::ConnectionState &state() { return State; }
   Time idleSince() const { return IdleSince; }
@@ -49,12 +54,18 @@
 private:
   runtime::Task<bool> readLine(std::string &Line);
   runtime::Task<Expected<statement::Reply, Loss>> collect();
+  runtime::Task<Expected<statement::Reply, Loss>> exchange(std::string Bytes,
+                                                           Duration Limit);
+  void awaitEnd();
 
   runtime::tcp::socket Socket;
   std::string Member;
   std::string Buffer;
   statement::ConnectionState State;
   Time IdleSince;
+  std::function<void()> OnEnd;
+  bool Calling = false;
+  bool AwaitsEnd = false;
 };
 
 using Connection = std::shared_ptr<EndpointConnection>;
