Recover a large fleet's sessions after a total loss; read members cheaply

Holders that had borrowed connections kept them while others had less than their share. Calls to the store were priced highest: members rewrite their entries every 1.2 s, so each watch returned at once.

Change: - a daemon whose own former entry is gone waits 600 ms before it judges the fleet; sessions wait with it, those forwarded by others do not; - an idle session that runs here although others hold the connections is closed, so that its caller comes back to a holder; sessions are opened at holders only, the own zone's first; - a daemon that holds no connections keeps one to each member at most; - refused connections are tried again after 120 ms to 960 ms, doubling; - holders tell which members refuse them connections of their share; others return borrowed ones at once; - members are read every 500 ms (every 3 s by daemons that hold nothing) with reads that may be old, and with newest reads for 4 s after a start or an outage; configuration and fleet are watched apart; a watch ends when another call of the store fails; peers tell the version of their configuration; a lost store is probed with the cheap reads.

Tests: CallerConnectionTest (5 new), ConnectionBudgetTest (3 new), StoreApiTest.

--- a/src/entry/CallerConnection.cpp
+++ b/src/entry/CallerConnection.cpp
@@ -45,6 +45,15 @@
     endWithHolder();
 }
 
+// A session that runs here only because no holder was known or reached when it
+// began.
+void CallerConnection::leaveIfHeldElsewhere() {
+  const catalog::Route *Route = S.Runner.route(Own.Database);
+  if (!Holder && Route != nullptr && isIdle() &&
+      isHeldElsewhere(S, Route->Service))
+    close();
+}
+
 void CallerConnection::close() {
   error_code Ignored;
   Socket.close(Ignored);
@@ -90,7 +99,11 @@
 
 Task<const catalog::Route *> CallerConnection::waitForRoute() {
   const Time Start = bootTime();
-  while (!S.Loaded && bootTime() - Start < ConfigWait)
+  // A session that was forwarded here runs here in any case.
+  const auto IsReady = [this] {
+    return S.Loaded && (Forwarder == nullptr || bootTime() >= S.FleetKnownFrom);
+  };
+  while (!IsReady() && bootTime() - Start < ConfigWait)
     co_await runtime::sleepFor(ConfigStep);
   co_return S.Runner.route(Own.Database);
 }
--- a/src/entry/CallerConnection.h
+++ b/src/entry/CallerConnection.h
@@ -31,6 +31,9 @@
   }
   /// Closes it if it is idle and its holder is the daemon.
   void leaveHolder(std::string_view Daemon);
+  /// Closes it if it is idle and runs here although other daemons hold the
+  /// connections of its service.
+  void leaveIfHeldElsewhere();
   /// Closes it; a statement in work is not answered.
   void close();
 
--- a/src/entry/CallerConnectionTest.cpp
+++ b/src/entry/CallerConnectionTest.cpp
@@ -6,6 +6,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <sstream>
+#include <utility>
 
 namespace borageridge::entry {
 namespace {
@@ -32,6 +33,11 @@
   CPPUNIT_TEST(anIdleCallerIsClosedAfterForwardedStatementsToo);
   CPPUNIT_TEST(aTransactionWhoseHolderEndedIsAborted);
   CPPUNIT_TEST(aWriteLostWithTheHolderIsInDoubt);
+  CPPUNIT_TEST(anIdleLocalSessionLeavesOnceOtherDaemonsHoldTheConnections);
+  CPPUNIT_TEST(aLocalTransactionStaysWhereItIs);
+  CPPUNIT_TEST(aLocalSessionStaysWhileNoHolderAnswers);
+  CPPUNIT_TEST(aSessionWaitsUntilTheFleetIsKnown);
+  CPPUNIT_TEST(aForwardedSessionDoesNotWaitForTheFleet);
   CPPUNIT_TEST_SUITE_END();
 
   runtime::asio::io_context Io;
@@ -43,6 +49,7 @@
   tcp::acceptor Acceptor{
       Io, tcp::endpoint(runtime::asio::ip::address_v4::loopback(), 0)};
   tcp::socket Caller{Io};
+  std::shared_ptr<CallerConnection> Subject;
 
 public:
   void setUp() override {
@@ -62,19 +69,33 @@
     S.Daemons["entry-2"] = S.Peers["entry-2"].Record = Other;
     S.DaemonsVersion = 1;
     S.Holders["db"] = {"entry-2"};
-    runtime::spawn(Io, accept());
-    Caller.connect(Acceptor.local_endpoint());
-    CPPUNIT_ASSERT_EQUAL(std::string("READY I -\r\n"),
-                         ask("START jobs caller\r\n"));
+    connect();
+    CPPUNIT_ASSERT_EQUAL(std::string("READY I -\r\n"), ask(Start));
   }
 
 private:
-  runtime::Task<void> accept() {
+  static constexpr std::string_view Start = "START jobs caller\r\n";
+
+  void connect(bool Forwarded = false) {
+    Caller = tcp::socket(Io);
+    runtime::spawn(Io, accept(Forwarded ? nullptr : &Sessions));
+    Caller.connect(Acceptor.local_endpoint());
+  }
+
+  /// A session that began before any holder was known.
+  void connectLocally() {
+    const auto Holders = std::exchange(S.Holders, {});
+    connect();
+    ask(Start);
+    S.Holders = Holders;
+  }
+
+  runtime::Task<void> accept(Forwarding *Forwarder) {
     tcp::socket Accepted =
         co_await Acceptor.async_accept(runtime::asio::use_awaitable);
-    co_await std::make_shared<CallerConnection>(S, std::move(Accepted),
-                                                &Sessions)
-        ->run();
+    Subject =
+        std::make_shared<CallerConnection>(S, std::move(Accepted), Forwarder);
+    co_await Subject->run();
   }
 
   void work() {
@@ -128,6 +149,41 @@
     Holder.Answer = [](const std::string &) { return CloseConnection; };
     CPPUNIT_ASSERT(ask(Write).starts_with("ERROR INDOUBT"));
   }
+
+  void anIdleLocalSessionLeavesOnceOtherDaemonsHoldTheConnections() {
+    connectLocally();
+    Subject->leaveIfHeldElsewhere();
+    CPPUNIT_ASSERT_EQUAL(std::string("closed"), received());
+  }
+
+  void aLocalTransactionStaysWhereItIs() {
+    connectLocally();
+    ask("QUERY q1 BEGIN\r\n");
+    Subject->leaveIfHeldElsewhere();
+    CPPUNIT_ASSERT_EQUAL(std::string(), received());
+  }
+
+  void aLocalSessionStaysWhileNoHolderAnswers() {
+    connectLocally();
+    S.Peers["entry-2"].Lost = true;
+    Subject->leaveIfHeldElsewhere();
+    CPPUNIT_ASSERT_EQUAL(std::string(), received());
+  }
+
+  void aForwardedSessionDoesNotWaitForTheFleet() {
+    S.FleetKnownFrom = runtime::bootTime() + std::chrono::seconds(1);
+    connect(true);
+    CPPUNIT_ASSERT_EQUAL(std::string("READY I -\r\n"), ask(Start));
+  }
+
+  void aSessionWaitsUntilTheFleetIsKnown() {
+    S.FleetKnownFrom = runtime::bootTime() + milliseconds(130);
+    connect();
+    CPPUNIT_ASSERT_EQUAL(std::string(), ask(Start));
+    work();
+    work();
+    CPPUNIT_ASSERT_EQUAL(std::string("READY I -\r\n"), received());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CallerConnectionTest);
--- a/src/entry/Daemon.cpp
+++ b/src/entry/Daemon.cpp
@@ -19,6 +19,7 @@
 using runtime::asio::use_awaitable;
 
 constexpr Duration TickInterval = std::chrono::milliseconds(50);
+constexpr Duration RebalanceInterval = std::chrono::milliseconds(700);
 // The load balancer asks once a second and needs two misses.
 constexpr Duration BalancerNotices = std::chrono::milliseconds(2300);
 constexpr Duration StopStep = std::chrono::milliseconds(50);
@@ -65,6 +66,7 @@
   runtime::spawn(Io, Others.run());
   runtime::spawn(Io, Changes.run());
   runtime::spawn(Io, tick());
+  runtime::spawn(Io, rebalance());
   runtime::spawn(Io, handleSignals());
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
@@ -181,6 +183,17 @@
   }
 }
 
+// Sessions that began while the holders of their service were not known go to
+// them once they are.
+Task<void> Daemon::rebalance() {
+  for (;;) {
+    co_await runtime::sleepFor(RebalanceInterval);
+    const auto Open = S.Stopping ? decltype(Callers)() : Callers;
+    for (const auto &Caller : Open)
+      Caller->leaveIfHeldElsewhere();
+  }
+}
+
 void Daemon::leaveLostPeers() {
   const auto Open = S.LostPeers.empty() ? decltype(Callers)() : Callers;
   for (const std::string &Name : std::exchange(S.LostPeers, {}))
--- a/src/entry/Daemon.h
+++ b/src/entry/Daemon.h
@@ -39,6 +39,7 @@
   runtime::Task<void> stop();
   void closeCallers(Duration Since);
   void leaveLostPeers();
+  runtime::Task<void> rebalance();
   bool isReady(Time Now) const;
   http::Response answerReadiness(const http::Request &Call);
   http::Response answerMetrics(const http::Request &Call);
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -81,7 +81,7 @@
     for (const auto &[Name, Other] : S.Peers) {
       const bool Turn = (Index + Round) % Slowdown == 0;
       ++Index;
-      if (Turn || isClose(Name))
+      if (Turn || Other.Lost || isClose(Name))
         runtime::spawn(S.Io, askPeer(Name));
     }
     shareLoad(bootTime());
@@ -137,6 +137,8 @@
   PeerReport Report;
   Report.Received = Now;
   Report.ReachesStore = News.value("store", false);
+  S.NewestConfigSeen =
+      std::max(S.NewestConfigSeen, News.value("config", std::uint64_t(0)));
   for (const Message &Entry : News.value("groups", Message::array())) {
     followRecord(S, Entry);
     const std::string Service = Entry.value("service", "");
@@ -160,6 +162,9 @@
   const Message InFlight = News.value("in_flight", Message::object());
   for (const auto &[Member, Count] : InFlight.items())
     Report.InFlight[Member] = Count.get<std::uint32_t>();
+  for (const Message &Member : News.value("starved", Message::array()))
+    for (const auto &[Service, Pool] : S.ByService)
+      Pool->yieldConnections(Member.get<std::string>(), Now);
   From.Last = std::move(Report);
 }
 
@@ -186,6 +191,7 @@
 Message Exchange::news(Time Now) const {
   Message Groups = Message::array();
   Message InFlight = Message::object();
+  Message Starved = Message::array();
   for (const auto &[Service, Pool] : S.ByService) {
     if (!Pool->isHolding())
       continue;
@@ -205,9 +211,13 @@
     Groups.push_back(std::move(Entry));
     for (const auto &[Member, Count] : Pool->inFlight())
       InFlight[Member] = Count;
+    for (const std::string &Member : Pool->starvedMembers(Now))
+      Starved.push_back(Member);
   }
   return {{"groups", std::move(Groups)},
           {"in_flight", std::move(InFlight)},
+          {"starved", std::move(Starved)},
+          {"config", S.Runner.catalog().Version},
           {"store", S.Store.isReached(Now)}};
 }
 
--- a/src/entry/Forwarding.cpp
+++ b/src/entry/Forwarding.cpp
@@ -25,6 +25,18 @@
 
 } // namespace
 
+bool isHeldElsewhere(const State &S, const std::string &Service) {
+  const auto Chosen = S.Holders.find(Service);
+  if (Chosen == S.Holders.end() ||
+      contains(Chosen->second, S.Settings.InstanceName))
+    return false;
+  return std::any_of(Chosen->second.begin(), Chosen->second.end(),
+                     [&](const std::string &Name) {
+                       const auto Found = S.Peers.find(Name);
+                       return Found != S.Peers.end() && !Found->second.Lost;
+                     });
+}
+
 const Forwarding::Choice &Forwarding::choice(const std::string &Service) {
   if (ChosenFrom != S.DaemonsVersion)
     Choices.clear();
@@ -36,14 +48,21 @@
   Live.reserve(S.Daemons.size());
   for (const auto &[Name, D] : S.Daemons)
     Live.push_back(D);
-  Found->second.Ranking =
-      cluster::holderRanking(Live, Service, S.Settings.AvailabilityZone);
   Found->second.Holders = cluster::holders(Live, Service);
+  for (const std::string &Name :
+       cluster::holderRanking(Live, Service, S.Settings.AvailabilityZone))
+    if (contains(Found->second.Holders, Name))
+      Found->second.Order.push_back(Name);
   return Found->second;
 }
 
 void Forwarding::tick() {
+  const bool FleetKnown = bootTime() >= S.FleetKnownFrom;
   for (const auto &[Service, Pool] : S.ByService) {
+    if (!FleetKnown) {
+      Pool->setHolding(false, 1);
+      continue;
+    }
     if (!cluster::needsHolders(Pool->spec().MaxConnections,
                                S.Shared.LiveDaemons)) {
       Pool->setHolding(true, S.Shared.LiveDaemons);
@@ -62,7 +81,7 @@
                                                std::string Database) {
   if (!S.Holders.contains(Service))
     co_return nullptr;
-  const std::vector<std::string> Order = choice(Service).Ranking;
+  const std::vector<std::string> Order = choice(Service).Order;
   unsigned Tries = 0;
   for (const std::string &Name : Order) {
     if (Name == S.Settings.InstanceName || Tries == MaxTries)
--- a/src/entry/Forwarding.h
+++ b/src/entry/Forwarding.h
@@ -10,6 +10,10 @@
 
 namespace borageridge::entry {
 
+/// Whether only other daemons hold the connections of the service, and at least
+/// one of them answers.
+bool isHeldElsewhere(const State &S, const std::string &Service);
+
 /// Decides who holds the connections of each service, and opens sessions at
 /// other daemons.
 class Forwarding {
@@ -27,10 +31,10 @@
 
 private:
   struct Choice {
-    /// For callers of the own availability zone, the first choice first.
-    std::vector<std::string> Ranking;
-    /// One for each availability zone.
+    /// One daemon for each availability zone.
     std::vector<std::string> Holders;
+    /// The holder of the own availability zone comes first.
+    std::vector<std::string> Order;
   };
   const Choice &choice(const std::string &Service);
 
--- a/src/entry/State.h
+++ b/src/entry/State.h
@@ -77,7 +77,11 @@
   keyvalue::Item Promoter;
   /// Daemons that stopped answering; their sessions are to be left.
   std::vector<std::string> LostPeers;
+  /// Version of the newest configuration that a peer has told of.
+  std::uint64_t NewestConfigSeen = 0;
   bool Loaded = false;
+  /// Before, other daemons may run that have not registered anew.
+  Time FleetKnownFrom;
   bool Stopping = false;
   std::size_t Sessions = 0;
 };
--- a/src/entry/StoreView.cpp
+++ b/src/entry/StoreView.cpp
@@ -4,6 +4,7 @@
 #include "platform/Registry.h"
 #include "runtime/Clock.h"
 
+#include <algorithm>
 #include <set>
 
 namespace borageridge::entry {
@@ -14,20 +15,42 @@
 using runtime::bootTime;
 using runtime::Task;
 
-// Everything in the store concerns the daemons, so one watch serves for all.
-constexpr const char *WatchedPrefix = "";
-// A silent connection is noticed this late; each wait costs one call.
-constexpr Duration WatchWait = std::chrono::milliseconds(2500);
+// Each wait costs one call. The answer may be lost with the connection; peers
+// tell of newer group records, and live daemons renew their leases all the
+// same.
+constexpr Duration WatchWait = std::chrono::seconds(10);
+// Half of the time in which a configuration must be in force.
+constexpr Duration ShortWatchWait = std::chrono::milliseconds(2500);
+constexpr std::size_t FewDaemons = 3;
+constexpr Duration HintInterval = std::chrono::milliseconds(100);
 // Answers that carry many changes at once cost less than one call for each.
 // Each daemon pauses in proportion to the fleet, so that the calls of all do
 // not grow with it; the limit is a fifth of the time in which a configuration
 // must be in force.
-constexpr Duration WatchPausePerDaemon = std::chrono::milliseconds(12);
+constexpr Duration WatchPausePerDaemon = std::chrono::milliseconds(20);
 constexpr Duration MaxWatchPause = std::chrono::milliseconds(800);
+// Daemons come and go often in a large fleet; changes of primary are told to
+// peers directly.
+constexpr Duration MaxFleetPause = std::chrono::milliseconds(1500);
+constexpr Duration SettlingPause = std::chrono::milliseconds(100);
+// Members write their entries more often than anything in them changes, so a
+// watch would not wait; a read that may be old costs a tenth of a call.
+constexpr Duration MembersInterval = std::chrono::milliseconds(500);
+// After a start or an outage, entries that lapsed come back within two seconds,
+// and a read may be as old again.
+constexpr Duration Reentry = std::chrono::milliseconds(4000);
+// For daemons that hold no connections to members.
+constexpr Duration SpareMembersInterval = std::chrono::milliseconds(3000);
 constexpr Duration FailurePause = std::chrono::milliseconds(150);
+constexpr Duration MaxFailurePause = std::chrono::milliseconds(1000);
+constexpr Duration ReturnStep = std::chrono::milliseconds(30);
 // Entries that lapsed with the store are back two seconds after its return.
 constexpr Duration VanishedGrace = std::chrono::milliseconds(2300);
 
+// All daemons register within this time after an outage in which they and their
+// leases were lost.
+constexpr Duration FleetSettling = std::chrono::milliseconds(600);
+
 std::string_view suffix(std::string_view Key, std::string_view Prefix) {
   return Key.substr(Prefix.size());
 }
@@ -62,23 +85,54 @@
 }
 
 Task<void> StoreView::run() {
+  runtime::spawn(S.Io, follow(platform::ConfigPrefix, ConfigLoaded));
+  runtime::spawn(S.Io, follow(cluster::OwnPrefix, FleetLoaded));
+  runtime::spawn(S.Io, followHints());
+  co_await pollMembers();
+}
+
+// While the store is down, the cheap reads of members find out when it is back.
+Task<void> StoreView::waitForStore() {
+  const Time Start = bootTime();
+  do
+    co_await runtime::sleepFor(ReturnStep);
+  while (!S.Store.isReached(bootTime()) &&
+         bootTime() - Start < MaxFailurePause);
+}
+
+Duration StoreView::watchPause(std::string_view Prefix, Time Now) const {
+  if (Now < S.FleetKnownFrom)
+    return SettlingPause;
+  const Duration Limit =
+      Prefix == cluster::OwnPrefix ? MaxFleetPause : MaxWatchPause;
+  return std::min<Duration>(Limit, WatchPausePerDaemon *
+                                       static_cast<int>(S.Shared.LiveDaemons));
+}
+
+Task<void> StoreView::follow(std::string_view Prefix, bool &Complete) {
   keyvalue::Revision At = 0;
   for (;;) {
     if (At == 0) {
-      Expected<keyvalue::Revision> Loaded = co_await load();
-      noteResult("range", Loaded ? nullptr : &Loaded.error(), bootTime());
-      if (!Loaded) {
-        co_await runtime::sleepFor(FailurePause);
+      Expected<keyvalue::Revision> Read = co_await load(Prefix);
+      noteResult("range", Read ? nullptr : &Read.error(), bootTime());
+      if (!Read) {
+        co_await waitForStore();
         continue;
       }
-      At = Loaded.value();
+      At = Read.value();
+      Complete = true;
+      noteLoaded(bootTime());
     }
+    const bool MayBeLong = Prefix == cluster::OwnPrefix &&
+                           S.Store.isReached(bootTime()) &&
+                           S.Shared.LiveDaemons >= FewDaemons;
+    const Duration Wait = MayBeLong ? WatchWait : ShortWatchWait;
     Expected<keyvalue::WatchResult> Seen =
-        co_await S.Store.watch(WatchedPrefix, At, WatchWait);
+        co_await S.Store.watch(std::string(Prefix), At, Wait);
     const Time Now = bootTime();
     noteResult("watch", Seen ? nullptr : &Seen.error(), Now);
     if (!Seen) {
-      co_await runtime::sleepFor(FailurePause);
+      co_await waitForStore();
       continue;
     }
     if (Seen.value().HistoryLost) {
@@ -86,25 +140,101 @@
       continue;
     }
     for (const Change &C : Seen.value().Changes)
-      apply(C, Now);
+      apply(C);
     publishMembers(Now);
     At = std::max(At, Seen.value().StoreRevision);
     if (!Seen.value().Changes.empty())
-      co_await runtime::sleepFor(std::min<Duration>(
-          MaxWatchPause,
-          WatchPausePerDaemon * static_cast<int>(S.Shared.LiveDaemons)));
+      co_await runtime::sleepFor(watchPause(Prefix, Now));
+  }
+}
+
+Task<void> StoreView::followHints() {
+  for (;;) {
+    co_await runtime::sleepFor(HintInterval);
+    if (S.NewestConfigSeen <= S.Runner.catalog().Version || !S.Loaded)
+      continue;
+    const Expected<keyvalue::Revision> Read =
+        co_await load(platform::ConfigPrefix);
+    if (!Read)
+      co_await runtime::sleepFor(FailurePause);
+  }
+}
+
+Task<void> StoreView::pollMembers() {
+  Time Regained;
+  for (;;) {
+    const bool Fresh = Regained != Time() && bootTime() - Regained < Reentry;
+    Expected<keyvalue::RangePage> Page = co_await S.Store.range(
+        std::string(platform::MemberPrefix),
+        Fresh ? keyvalue::ReadMode::Newest : keyvalue::ReadMode::MayBeOld);
+    const Time Now = bootTime();
+    noteResult("range", Page ? nullptr : &Page.error(), Now);
+    if (!Page) {
+      Regained = Time();
+      co_await runtime::sleepFor(FailurePause);
+      continue;
+    }
+    if (Regained == Time())
+      Regained = Now;
+    applyMembers(Page.value(), Now);
+    MembersLoaded = true;
+    noteLoaded(Now);
+    co_await runtime::sleepFor(
+        Fresh || holdsConnections() ? MembersInterval : SpareMembersInterval);
   }
 }
 
-Task<Expected<keyvalue::Revision>> StoreView::load() {
-  Expected<keyvalue::RangePage> Page = co_await S.Store.range(WatchedPrefix);
+bool StoreView::holdsConnections() const {
+  return std::any_of(
+      S.ByService.begin(), S.ByService.end(),
+      [](const auto &Entry) { return Entry.second->isHolding(); });
+}
+
+// An old state neither takes an entry back nor removes one that is newer.
+void StoreView::applyMembers(const keyvalue::RangePage &Page, Time Now) {
+  std::set<std::string_view> Present;
+  for (const Item &Read : Page.Items) {
+    Present.insert(Read.Key);
+    keyvalue::Revision &Known = MemberRevisions[Read.Key];
+    if (Read.Changed <= Known && !S.Vanished.contains(std::string(
+                                     suffix(Read.Key, platform::MemberPrefix))))
+      continue;
+    if (Read.Changed < Known)
+      continue;
+    Known = Read.Changed;
+    applyMember({Read, false}, Now);
+  }
+  for (const auto &[Key, Known] : MemberRevisions) {
+    if (Present.contains(Key) || Known > Page.StoreRevision)
+      continue;
+    Change Removal;
+    Removal.Removed = true;
+    Removal.Written.Key = Key;
+    applyMember(Removal, Now);
+  }
+  publishMembers(Now);
+}
+
+void StoreView::noteLoaded(Time Now) {
+  if (S.Loaded || !ConfigLoaded || !FleetLoaded || !MembersLoaded)
+    return;
+  // An entry of this daemon's former process shows that the leases of the
+  // others have not lapsed either.
+  if (!S.Daemons.contains(S.Settings.InstanceName))
+    S.FleetKnownFrom = Now + FleetSettling;
+  S.Loaded = true;
+}
+
+Task<Expected<keyvalue::Revision>> StoreView::load(std::string_view Prefix) {
+  Expected<keyvalue::RangePage> Page =
+      co_await S.Store.range(std::string(Prefix));
   if (!Page)
     co_return std::move(Page).error();
   const Time Now = bootTime();
   std::set<std::string> Present;
   for (const Item &Read : Page.value().Items) {
     Present.insert(Read.Key);
-    apply({Read, false}, Now);
+    apply({Read, false});
   }
   const auto Absent = [&](const std::string &Key) {
     if (Present.contains(Key))
@@ -113,17 +243,15 @@
     Removal.Removed = true;
     Removal.Written.Key = Key;
     Removal.Written.Changed = Page.value().StoreRevision;
-    apply(Removal, Now);
+    apply(Removal);
   };
-  const auto Members = S.Members;
-  for (const auto &[Id, M] : Members)
-    Absent(std::string(platform::MemberPrefix) + Id);
-  const auto Daemons = S.Daemons;
-  for (const auto &[Name, D] : Daemons)
-    Absent(std::string(cluster::DaemonPrefix) + Name);
-  Absent(std::string(cluster::PromoterKey));
+  if (Prefix == cluster::OwnPrefix) {
+    const auto Daemons = S.Daemons;
+    for (const auto &[Name, D] : Daemons)
+      Absent(std::string(cluster::DaemonPrefix) + Name);
+    Absent(std::string(cluster::PromoterKey));
+  }
   publishMembers(Now);
-  S.Loaded = true;
   co_return Page.value().StoreRevision;
 }
 
@@ -133,17 +261,15 @@
   if (!Page)
     co_return std::move(Page).error();
   for (const Item &Read : Page.value().Items)
-    apply({Read, false}, bootTime());
+    apply({Read, false});
   co_return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
-void StoreView::apply(const Change &Seen, Time Now) {
+void StoreView::apply(const Change &Seen) {
   const std::string_view Key = Seen.Written.Key;
   if (Key == platform::ConfigKey) {
     if (!Seen.Removed)
       applyConfig(Seen.Written);
-  } else if (Key.starts_with(platform::MemberPrefix)) {
-    applyMember(Seen, Now);
   } else if (Key.starts_with(cluster::DaemonPrefix)) {
     applyDaemon(Seen);
   } else if (Key == cluster::PromoterKey) {
@@ -234,6 +360,7 @@
   Other.Channel = std::make_shared<peer::PeerChannel>(
       S.Io, runtime::tcp::endpoint(Ip, Record.value().PeerPort));
   Other.Last = PeerReport();
+  Other.Lost = false;
 }
 
 void StoreView::publishMembers(Time Now) {
--- a/src/entry/StoreView.h
+++ b/src/entry/StoreView.h
@@ -12,7 +12,7 @@
 public:
   explicit StoreView(State &Shared) : S(Shared) {}
 
-  /// Reads everything, then watches for changes, until the loop ends.
+  /// Reads everything, then follows the changes, until the loop ends.
   runtime::Task<void> run();
 
   /// Reads the group records now. Fails if the store does not answer.
@@ -22,8 +22,16 @@
   void tick(Time Now);
 
 private:
-  runtime::Task<Expected<keyvalue::Revision>> load();
-  void apply(const keyvalue::Change &Seen, Time Now);
+  runtime::Task<void> follow(std::string_view Prefix, bool &Complete);
+  runtime::Task<void> pollMembers();
+  runtime::Task<void> followHints();
+  runtime::Task<Expected<keyvalue::Revision>> load(std::string_view Prefix);
+  Duration watchPause(std::string_view Prefix, Time Now) const;
+  bool holdsConnections() const;
+  runtime::Task<void> waitForStore();
+  void noteLoaded(Time Now);
+  void apply(const keyvalue::Change &Seen);
+  void applyMembers(const keyvalue::RangePage &Page, Time Now);
   void applyConfig(const keyvalue::Item &Written);
   void applyMember(const keyvalue::Change &Seen, Time Now);
   void applyDaemon(const keyvalue::Change &Seen);
@@ -31,7 +39,12 @@
   void noteResult(std::string_view Call, const Failure *Failed, Time Now);
 
   State &S;
+  bool ConfigLoaded = false;
+  bool FleetLoaded = false;
+  bool MembersLoaded = false;
   keyvalue::Revision ConfigRevision = 0;
+  /// Of the newest entries that were seen, by key.
+  std::map<std::string, keyvalue::Revision> MemberRevisions;
   bool MembersChanged = false;
   std::optional<Time> LostSince;
 };
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -47,6 +47,13 @@
 
 void HttpClient::dropConnections() { Idle.clear(); }
 
+void HttpClient::endCalls() {
+  Idle.clear();
+  error_code Ignored;
+  for (Connection *Link : Busy)
+    Link->Socket.close(Ignored);
+}
+
 std::unique_ptr<HttpClient::Connection> HttpClient::takeIdle() {
   while (!Idle.empty()) {
     std::unique_ptr<Connection> Link = std::move(Idle.back());
@@ -66,7 +73,9 @@
     if (Error)
       co_return failed(FailureKind::Unavailable, Error);
   }
+  Busy.insert(Link.get());
   Expected<Response> Result = co_await exchange(*Link, Call, Limit);
+  Busy.erase(Link.get());
   if (Result && Link->Socket.is_open())
     Idle.push_back(std::move(Link));
   co_return Result;
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -8,6 +8,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,8 @@
 
   /// Closes the idle connections.
   void dropConnections();
+  /// Closes all connections; calls in work fail with Unknown.
+  void endCalls();
 
 private:
   struct Connection;
@@ -37,6 +40,7 @@
   runtime::tcp::endpoint Server;
   std::string Host;
   std::vector<std::unique_ptr<Connection>> Idle;
+  std::set<Connection *> Busy;
 };
 
 } // namespace borageridge::http
--- a/src/keyvalue/KeyValue.h
+++ b/src/keyvalue/KeyValue.h
@@ -12,6 +12,12 @@
 using Revision = std::uint64_t;
 using LeaseId = std::uint64_t;
 
+enum class ReadMode {
+  Newest,
+  /// Cheaper; the state may be some seconds old.
+  MayBeOld,
+};
+
 struct Item {
   std::string Key;
   std::string Value;
--- a/src/keyvalue/StoreClient.cpp
+++ b/src/keyvalue/StoreClient.cpp
@@ -33,7 +33,7 @@
 
 StoreClient::StoreClient(runtime::asio::io_context &Io,
                          runtime::tcp::endpoint Server)
-    : Direct(Io, Server) {}
+    : Direct(Io, Server), Watches(Io, Server) {}
 
 bool StoreClient::isReached(Time Now) const {
   return LastSuccess != Time() && Now - LastSuccess < ReachedLifetime &&
@@ -42,9 +42,15 @@
 
 Task<Expected<http::Response>> StoreClient::callDirectly(http::Request Call,
                                                          Duration Limit) {
+  co_return co_await send(Direct, std::move(Call), Limit);
+}
+
+// A watch waits for long; if any other call fails meanwhile, it is likely to
+// wait in vain.
+Task<Expected<http::Response>>
+StoreClient::send(http::HttpClient &Over, http::Request Call, Duration Limit) {
   ++Calls;
-  Expected<http::Response> Answer =
-      co_await Direct.call(std::move(Call), Limit);
+  Expected<http::Response> Answer = co_await Over.call(std::move(Call), Limit);
   const Time Now = runtime::bootTime();
   if (Answer && !isRefusal(Answer.value())) {
     LastSuccess = Now;
@@ -52,6 +58,7 @@
   } else {
     AvoidDirectUntil = Now + AvoidDirect;
     Direct.dropConnections();
+    Watches.endCalls();
   }
   co_return Answer;
 }
@@ -59,8 +66,10 @@
 // A call that may be repeated is sent through another daemon as soon as the
 // direct one has failed. A change is sent once on one way: if its answer is
 // lost, it must be known whether it took effect before it is sent again.
-Task<Expected<http::Response>>
-StoreClient::call(http::Request Call, Duration Limit, bool Repeatable) {
+Task<Expected<http::Response>> StoreClient::call(http::HttpClient &Over,
+                                                 http::Request Call,
+                                                 Duration Limit,
+                                                 bool Repeatable) {
   const bool Avoid = runtime::bootTime() < AvoidDirectUntil;
   if (Through && Avoid) {
     Expected<http::Response> Answer = co_await Through(Call, Limit);
@@ -68,21 +77,22 @@
                                 : Answer.error().Kind == FailureKind::Unknown;
     if (Settled)
       co_return Answer;
-    co_return co_await callDirectly(std::move(Call), Limit);
+    co_return co_await send(Over, std::move(Call), Limit);
   }
-  Expected<http::Response> Answer = co_await callDirectly(Call, Limit);
+  Expected<http::Response> Answer = co_await send(Over, Call, Limit);
   const bool Failed = !Answer || isRefusal(Answer.value());
   if (!Through || !Failed || !Repeatable)
     co_return Answer;
   co_return co_await Through(std::move(Call), Limit);
 }
 
-Task<Expected<RangePage>> StoreClient::range(std::string Prefix) {
+Task<Expected<RangePage>> StoreClient::range(std::string Prefix,
+                                             ReadMode Mode) {
   RangePage Whole;
   std::string After;
   for (;;) {
-    Expected<http::Response> Answer =
-        co_await call(platform::rangeCall(Prefix, After), CallLimit, true);
+    Expected<http::Response> Answer = co_await call(
+        Direct, platform::rangeCall(Prefix, After, Mode), CallLimit, true);
     if (!Answer)
       co_return std::move(Answer).error();
     Expected<RangePage> Page = platform::decodeRange(Answer.value());
@@ -100,25 +110,25 @@
 
 Task<Expected<WatchResult>> StoreClient::watch(std::string Prefix,
                                                Revision After, Duration Wait) {
-  Expected<http::Response> Answer =
-      co_await call(platform::watchCall(Prefix, After, milliseconds(Wait)),
-                    Wait + WatchSlack, true);
+  Expected<http::Response> Answer = co_await call(
+      Watches, platform::watchCall(Prefix, After, milliseconds(Wait)),
+      Wait + WatchSlack, true);
   if (!Answer)
     co_return std::move(Answer).error();
   co_return platform::decodeWatch(Answer.value());
 }
 
 Task<Expected<Revision>> StoreClient::commit(Transaction Change) {
-  Expected<http::Response> Answer =
-      co_await call(platform::transactionCall(Change), CallLimit, false);
+  Expected<http::Response> Answer = co_await call(
+      Direct, platform::transactionCall(Change), CallLimit, false);
   if (!Answer)
     co_return std::move(Answer).error();
   co_return platform::decodeTransaction(Answer.value());
 }
 
 Task<Expected<LeaseGrant>> StoreClient::grant(Duration Ttl) {
-  Expected<http::Response> Answer =
-      co_await call(platform::leaseCall(milliseconds(Ttl)), CallLimit, true);
+  Expected<http::Response> Answer = co_await call(
+      Direct, platform::leaseCall(milliseconds(Ttl)), CallLimit, true);
   if (!Answer)
     co_return std::move(Answer).error();
   co_return platform::decodeLease(Answer.value());
@@ -126,7 +136,7 @@
 
 Task<Expected<void>> StoreClient::renew(LeaseId Id) {
   Expected<http::Response> Answer =
-      co_await call(platform::renewCall(Id), CallLimit, true);
+      co_await call(Direct, platform::renewCall(Id), CallLimit, true);
   if (!Answer)
     co_return std::move(Answer).error();
   co_return platform::decodeRenewal(Answer.value());
@@ -134,7 +144,7 @@
 
 Task<Expected<void>> StoreClient::endLease(LeaseId Id) {
   Expected<http::Response> Answer =
-      co_await call(platform::endLeaseCall(Id), CallLimit, true);
+      co_await call(Direct, platform::endLeaseCall(Id), CallLimit, true);
   if (!Answer)
     co_return std::move(Answer).error();
   co_return platform::decodeRenewal(Answer.value());
--- a/src/keyvalue/StoreClient.h
+++ b/src/keyvalue/StoreClient.h
@@ -29,7 +29,8 @@
 
   /// All items with the prefix. The revision is that of the first page, so a
   /// watch from there misses nothing.
-  runtime::Task<Expected<RangePage>> range(std::string Prefix);
+  runtime::Task<Expected<RangePage>> range(std::string Prefix,
+                                           ReadMode Mode = ReadMode::Newest);
   runtime::Task<Expected<WatchResult>> watch(std::string Prefix, Revision After,
                                              Duration Wait);
   /// Conflict: a condition did not hold.
@@ -48,10 +49,16 @@
   std::uint64_t calls() const { return Calls; }
 
 private:
-  runtime::Task<Expected<http::Response>> call(http::Request Call,
+  runtime::Task<Expected<http::Response>> call(http::HttpClient &Over,
+                                               http::Request Call,
                                                Duration Limit, bool Repeatable);
 
+  runtime::Task<Expected<http::Response>>
+  send(http::HttpClient &Over, http::Request Call, Duration Limit);
+
   http::HttpClient Direct;
+  /// Of its own, so that long waits can be ended when other calls fail.
+  http::HttpClient Watches;
   Relay Through;
   Time LastSuccess;
   Time AvoidDirectUntil;
--- a/src/pool/ConnectionBudget.cpp
+++ b/src/pool/ConnectionBudget.cpp
@@ -12,10 +12,14 @@
 constexpr std::uint32_t ReservePercent = 15;
 // Borrowed connections of one daemon, as a part of its share.
 constexpr std::uint32_t BorrowedPerShare = 1;
-// After a refusal: as long as a dead caller's connections stay at the member
-// would be too long for a daemon that holds none, so it asks more often.
-constexpr Duration RefusedDelay = std::chrono::milliseconds(120);
+// After the first refusal, and twice as long after each further one. A dead
+// caller's connections stay at the member for three seconds; a daemon that
+// holds none asks more often.
+constexpr Duration FirstRefusedDelay = std::chrono::milliseconds(120);
+constexpr Duration MaxRefusedDelay = std::chrono::milliseconds(960);
 constexpr Duration NoBorrowing = std::chrono::milliseconds(2000);
+// Longer than the longest delay between two refusals.
+constexpr Duration StarvedFor = std::chrono::milliseconds(1200);
 constexpr Duration FailedDelay = std::chrono::milliseconds(100);
 
 } // namespace
@@ -29,13 +33,29 @@
 }
 
 void ConnectionBudget::refused(Time Now) {
+  RefusedDelay =
+      std::clamp(2 * RefusedDelay, FirstRefusedDelay, MaxRefusedDelay);
   NotBefore = Now + RefusedDelay;
   NoBorrowingBefore = Now + NoBorrowing;
+  RefusedAt = Now;
+}
+
+void ConnectionBudget::yield(Time Now) {
+  NoBorrowingBefore = Now + NoBorrowing;
+}
+
+bool ConnectionBudget::isStarved(std::uint32_t Held, std::uint32_t Share,
+                                 Time Now) const {
+  return RefusedAt && Now - *RefusedAt < StarvedFor && Held < Share;
 }
 
 void ConnectionBudget::failed(Time Now) { NotBefore = Now + FailedDelay; }
 
-void ConnectionBudget::succeeded() { NotBefore = Time(); }
+void ConnectionBudget::succeeded() {
+  RefusedDelay = Duration::zero();
+  NotBefore = Time();
+  RefusedAt.reset();
+}
 
 bool ConnectionBudget::mayOpen(std::uint32_t Held, std::uint32_t Share,
                                Time Now) const {
@@ -47,9 +67,9 @@
 }
 
 bool ConnectionBudget::isSurplus(std::uint32_t Held, std::uint32_t Share,
-                                 Duration IdleFor) const {
+                                 Duration IdleFor, Time Now) const {
   if (Held > Share)
-    return IdleFor > BorrowedIdle;
+    return Now < NoBorrowingBefore || IdleFor > BorrowedIdle;
   return Held > 1 && IdleFor > ShareIdle;
 }
 
--- a/src/pool/ConnectionBudget.h
+++ b/src/pool/ConnectionBudget.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 namespace borageridge::pool {
 
@@ -26,15 +27,22 @@
   void failed(Time Now);
   void succeeded();
 
+  /// Another daemon lacks connections of its share.
+  void yield(Time Now);
+  /// Whether connections of the share are lacking because others hold them.
+  bool isStarved(std::uint32_t Held, std::uint32_t Share, Time Now) const;
+
   /// Whether another connection may be opened.
   bool mayOpen(std::uint32_t Held, std::uint32_t Share, Time Now) const;
   /// Whether an idle connection is to be closed.
-  bool isSurplus(std::uint32_t Held, std::uint32_t Share,
-                 Duration IdleFor) const;
+  bool isSurplus(std::uint32_t Held, std::uint32_t Share, Duration IdleFor,
+                 Time Now) const;
 
 private:
+  Duration RefusedDelay{};
   Time NotBefore;
   Time NoBorrowingBefore;
+  std::optional<Time> RefusedAt;
 };
 
 /// The connections that each daemon may hold at any time.
--- a/src/pool/ConnectionBudgetTest.cpp
+++ b/src/pool/ConnectionBudgetTest.cpp
@@ -15,7 +15,10 @@
   CPPUNIT_TEST(borrowingIsBounded);
   CPPUNIT_TEST(aFullMemberEndsBorrowing);
   CPPUNIT_TEST(aFullMemberIsAskedAgainForTheShare);
+  CPPUNIT_TEST(repeatedRefusalsAreAskedLessAndLessOften);
   CPPUNIT_TEST(borrowedConnectionsAreReturnedWhenIdle);
+  CPPUNIT_TEST(borrowedConnectionsAreReturnedAtOnceWhenAnotherDaemonLacksThem);
+  CPPUNIT_TEST(aDaemonRefusedBelowItsShareIsStarved);
   CPPUNIT_TEST(connectionsThatNobodyNeedsAreClosedButForOne);
   CPPUNIT_TEST_SUITE_END();
 
@@ -54,15 +57,42 @@
     CPPUNIT_ASSERT(Subject.mayOpen(0, 3, Start + milliseconds(200)));
   }
 
+  void repeatedRefusalsAreAskedLessAndLessOften() {
+    for (int I = 0; I < 5; ++I)
+      Subject.refused(Start);
+    CPPUNIT_ASSERT(!Subject.mayOpen(0, 3, Start + milliseconds(900)));
+    CPPUNIT_ASSERT(Subject.mayOpen(0, 3, Start + milliseconds(1000)));
+    Subject.succeeded();
+    Subject.refused(Start);
+    CPPUNIT_ASSERT(Subject.mayOpen(0, 3, Start + milliseconds(200)));
+  }
+
+  void borrowedConnectionsAreReturnedAtOnceWhenAnotherDaemonLacksThem() {
+    Subject.yield(Start);
+    CPPUNIT_ASSERT(Subject.isSurplus(4, 3, Duration::zero(), Start));
+    CPPUNIT_ASSERT(!Subject.isSurplus(3, 3, Duration::zero(), Start));
+    CPPUNIT_ASSERT(!Subject.mayOpen(3, 3, Start + milliseconds(100)));
+  }
+
+  void aDaemonRefusedBelowItsShareIsStarved() {
+    CPPUNIT_ASSERT(!Subject.isStarved(1, 3, Start));
+    Subject.refused(Start);
+    CPPUNIT_ASSERT(Subject.isStarved(1, 3, Start + milliseconds(1000)));
+    CPPUNIT_ASSERT(!Subject.isStarved(3, 3, Start + milliseconds(1000)));
+    CPPUNIT_ASSERT(!Subject.isStarved(1, 3, Start + milliseconds(1200)));
+    Subject.succeeded();
+    CPPUNIT_ASSERT(!Subject.isStarved(1, 3, Start));
+  }
+
   void borrowedConnectionsAreReturnedWhenIdle() {
-    CPPUNIT_ASSERT(!Subject.isSurplus(3, 3, milliseconds(600)));
-    CPPUNIT_ASSERT(!Subject.isSurplus(4, 3, milliseconds(100)));
-    CPPUNIT_ASSERT(Subject.isSurplus(4, 3, milliseconds(600)));
+    CPPUNIT_ASSERT(!Subject.isSurplus(3, 3, milliseconds(600), Start));
+    CPPUNIT_ASSERT(!Subject.isSurplus(4, 3, milliseconds(100), Start));
+    CPPUNIT_ASSERT(Subject.isSurplus(4, 3, milliseconds(600), Start));
   }
 
   void connectionsThatNobodyNeedsAreClosedButForOne() {
-    CPPUNIT_ASSERT(Subject.isSurplus(2, 3, milliseconds(1600)));
-    CPPUNIT_ASSERT(!Subject.isSurplus(1, 3, std::chrono::hours(1)));
+    CPPUNIT_ASSERT(Subject.isSurplus(2, 3, milliseconds(1600), Start));
+    CPPUNIT_ASSERT(!Subject.isSurplus(1, 3, std::chrono::hours(1), Start));
   }
 };
 
--- a/src/pool/ServicePool.cpp
+++ b/src/pool/ServicePool.cpp
@@ -21,6 +21,9 @@
 constexpr Duration ProbeInterval = std::chrono::milliseconds(250);
 // A probe takes no slot; its answer is one round trip away.
 constexpr Duration ProbeLimit = std::chrono::milliseconds(400);
+// Connections to each member of a daemon that does not hold them for others,
+// while sessions that began here have not left yet.
+constexpr std::uint32_t StrayConnections = 1;
 constexpr Duration RelinquishStep = std::chrono::milliseconds(5);
 // Waiting statements: a second of work at a usual rate.
 constexpr std::size_t MaxWaiting = 512;
@@ -167,14 +170,13 @@
 }
 
 std::uint32_t ServicePool::connectionLimit() const {
-  return connectionShare(Spec.MaxConnections, SharingDaemons);
+  return Holding ? connectionShare(Spec.MaxConnections, SharingDaemons)
+                 : StrayConnections;
 }
 
 MemberLoad ServicePool::loadOf(MemberState &M, const Demand &D,
                                Time Now) const {
   std::erase_if(M.Idle, [](const Connection &C) { return !C->isOpen(); });
-  const auto Connections =
-      static_cast<std::uint32_t>(M.Idle.size() + M.Busy.size() + M.Opening);
   MemberLoad L;
   L.Primary = isPrimary(M);
   L.Usable = isUsable(M, Now);
@@ -182,7 +184,8 @@
                D.Excluded.end();
   L.SameZone = M.Info.AvailabilityZone == Shared.AvailabilityZone;
   L.HasIdleConnection = !M.Idle.empty();
-  L.CanOpenConnection = M.Budget.mayOpen(Connections, connectionLimit(), Now);
+  L.CanOpenConnection =
+      M.Budget.mayOpen(M.connections(), connectionLimit(), Now);
   L.Slots = M.Info.Slots;
   L.Sharers = SharingDaemons;
   L.OwnInFlight = M.inFlight();
@@ -402,7 +405,9 @@
     return;
   }
   M->Resting.erase(Used.Link);
-  const bool Keep = M->Registered && Used.Link->isOpen() &&
+  const bool Surplus = M->Budget.isSurplus(
+      M->connections() + 1, connectionLimit(), Duration::zero(), Now);
+  const bool Keep = M->Registered && Used.Link->isOpen() && !Surplus &&
                     !(M->Info.Leaving && !isPrimary(*M));
   if (Keep) {
     Used.Link->markIdle(Now);
@@ -528,13 +533,12 @@
 }
 
 void ServicePool::closeSurplus(MemberState &M, Time Now) {
-  const auto Connections =
-      static_cast<std::uint32_t>(M.Idle.size() + M.Busy.size());
-  if (M.Idle.empty() || !M.Budget.isSurplus(Connections, connectionLimit(),
-                                            Now - M.Idle.front()->idleSince()))
-    return;
-  M.Idle.front()->close();
-  M.Idle.erase(M.Idle.begin());
+  while (!M.Idle.empty() &&
+         M.Budget.isSurplus(M.connections() - M.Opening, connectionLimit(),
+                            Now - M.Idle.front()->idleSince(), Now)) {
+    M.Idle.front()->close();
+    M.Idle.erase(M.Idle.begin());
+  }
 }
 
 void ServicePool::reportHealth(MemberState &M, Time Now) {
@@ -582,6 +586,20 @@
   return Result;
 }
 
+std::vector<std::string> ServicePool::starvedMembers(Time Now) const {
+  std::vector<std::string> Result;
+  for (const auto &[Id, M] : Members)
+    if (Holding && M.Registered &&
+        M.Budget.isStarved(M.connections(), connectionLimit(), Now))
+      Result.push_back(Id);
+  return Result;
+}
+
+void ServicePool::yieldConnections(std::string_view Member, Time Now) {
+  if (MemberState *M = find(Member))
+    M->Budget.yield(Now);
+}
+
 void ServicePool::setOthersInFlight(std::map<std::string, std::uint32_t> Sum) {
   for (auto &[Id, M] : Members)
     M.OthersInFlight = Sum.contains(Id) ? Sum[Id] : 0;
--- a/src/pool/ServicePool.h
+++ b/src/pool/ServicePool.h
@@ -135,6 +135,10 @@
   /// Whether the member gets no work; also if it is not known.
   bool isSuspected(std::string_view Member, Time Now) const;
   std::map<std::string, std::uint32_t> inFlight() const;
+  /// Members at which others hold connections of this daemon's share.
+  std::vector<std::string> starvedMembers(Time Now) const;
+  /// Another daemon lacks connections to the member.
+  void yieldConnections(std::string_view Member, Time Now);
   void setOthersInFlight(std::map<std::string, std::uint32_t> Sum);
   std::optional<freshness::PrimaryPositions::Sample> newestSample() const;
   /// A position that another daemon saw in the log epoch.
@@ -165,6 +169,9 @@
     std::uint32_t inFlight() const {
       return static_cast<std::uint32_t>(Busy.size() - Resting.size());
     }
+    std::uint32_t connections() const {
+      return static_cast<std::uint32_t>(Idle.size() + Busy.size() + Opening);
+    }
   };
   struct Waiter;
 
