--- a/src/entry/Coordinator.cpp
+++ b/src/entry/Coordinator.cpp
@@ -39,11 +39,6 @@
 constexpr Duration PromoteCallLimit = std::chrono::milliseconds(1000);
 constexpr Duration LeadLimit = std::chrono::milliseconds(4000);
 
-std::uint64_t milliseconds(Duration D) {
-  return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(D).count());
-}
-
 } // namespace
 
 pool::ServicePool *Coordinator::pool(const std::string &Service) {
@@ -215,7 +210,8 @@
   if (Done) {
     const GroupRecord &Record = S.Records[Service];
     S.Log.write(event::ChangeCompleted, Service, Record.Primary,
-                Record.PrimaryTerm, milliseconds(bootTime() - Start));
+                Record.PrimaryTerm,
+                runtime::toMilliseconds(bootTime() - Start));
   } else {
     co_await runtime::sleepFor(Interval);
   }
--- a/src/entry/Daemon.cpp
+++ b/src/entry/Daemon.cpp
@@ -4,6 +4,7 @@
 #include "http/HttpServer.h"
 #include "platform/Promotion.h"
 #include "runtime/Clock.h"
+#include "runtime/Listener.h"
 
 #include <csignal>
 #include <utility>
@@ -35,11 +36,6 @@
   return Result;
 }
 
-std::uint64_t milliseconds(Duration D) {
-  return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(D).count());
-}
-
 } // namespace
 
 Daemon::Daemon(runtime::asio::io_context &Context,
@@ -73,20 +69,10 @@
 
 Expected<void> Daemon::listenForCallers(tcp::endpoint Address,
                                         Forwarding *Forwarder) {
-  tcp::acceptor Acceptor(Io);
-  error_code Error;
-  Acceptor.open(tcp::v4(), Error);
-  if (!Error)
-    Acceptor.set_option(tcp::acceptor::reuse_address(true), Error);
-  if (!Error)
-    Acceptor.bind(Address, Error);
-  if (!Error)
-    Acceptor.listen(runtime::asio::socket_base::max_listen_connections, Error);
-  if (Error)
-    return Failure{FailureKind::Unavailable,
-                   "cannot listen for callers: " + Error.message()};
-  runtime::spawn(Io, acceptCallers(std::move(Acceptor), Forwarder));
-  return BOOST_OUTCOME_V2_NAMESPACE::success();
+  return runtime::serve(Io, Address, [this, Forwarder](tcp::socket Socket) {
+    runtime::spawn(Io, serveCaller(std::make_shared<CallerConnection>(
+                           S, std::move(Socket), Forwarder)));
+  });
 }
 
 Expected<void> Daemon::listen(std::uint16_t MetricsPort) {
@@ -145,22 +131,6 @@
   return {200, S.Metrics.text(), "text/plain; version=0.0.4"};
 }
 
-Task<void> Daemon::acceptCallers(tcp::acceptor Acceptor,
-                                 Forwarding *Forwarder) {
-  constexpr Duration Pause = std::chrono::milliseconds(10);
-  for (;;) {
-    error_code Error;
-    tcp::socket Socket =
-        co_await Acceptor.async_accept(redirect_error(use_awaitable, Error));
-    if (Error) {
-      co_await runtime::sleepFor(Pause);
-      continue;
-    }
-    runtime::spawn(Io, serveCaller(std::make_shared<CallerConnection>(
-                           S, std::move(Socket), Forwarder)));
-  }
-}
-
 Task<void> Daemon::serveCaller(std::shared_ptr<CallerConnection> Caller) {
   Callers.insert(Caller);
   co_await Caller->run();
@@ -239,7 +209,8 @@
   // for the store either.
   runtime::spawn(Io, Lease.release());
   co_await runtime::sleepFor(ReleaseWait);
-  Log.write(event::Stopped, Callers.size(), milliseconds(bootTime() - Start));
+  Log.write(event::Stopped, Callers.size(),
+            runtime::toMilliseconds(bootTime() - Start));
   Io.stop();
 }
 
--- a/src/entry/Daemon.h
+++ b/src/entry/Daemon.h
@@ -31,8 +31,6 @@
   Expected<void> listen(std::uint16_t MetricsPort);
   Expected<void> listenForCallers(runtime::tcp::endpoint Address,
                                   Forwarding *Forwarder);
-  runtime::Task<void> acceptCallers(runtime::tcp::acceptor Acceptor,
-                                    Forwarding *Forwarder);
   runtime::Task<void> serveCaller(std::shared_ptr<CallerConnection> Caller);
   runtime::Task<void> tick();
   runtime::Task<void> handleSignals();
--- a/src/entry/Executor.cpp
+++ b/src/entry/Executor.cpp
@@ -39,11 +39,6 @@
 // Rolling back takes no work at the endpoint.
 constexpr Duration RollbackLimit = std::chrono::milliseconds(400);
 
-std::uint64_t milliseconds(Duration D) {
-  return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(D).count());
-}
-
 Duration attemptLimit(const catalog::Route &Route, bool Repeatable,
                       Duration UsualLatency, Time Deadline, Time Now) {
   const Duration Left = Deadline - Now;
@@ -116,7 +111,7 @@
     const ServicePool *Pool = pool(Service);
     Log.write(event::RequestRefused, St.Id, Database, Service,
               statement::name(Code), Reason, Member,
-              milliseconds(Now - Arrival), Config.Version,
+              runtime::toMilliseconds(Now - Arrival), Config.Version,
               Pool ? Pool->record().Epoch : 0);
   }
   return localError(Code, Reason, State);
--- /dev/null
+++ b/src/entry/RegistrationTest.cpp
@@ -0,0 +1,92 @@
+#include "entry/Registration.h"
+
+#include "platform/testing/FakeStore.h"
+#include "runtime/Clock.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <sstream>
+
+namespace borageridge::entry {
+namespace {
+
+using std::chrono::milliseconds;
+
+const std::string OwnKey = "borageridge/daemons/entry-1";
+
+boot::DaemonSettings settings() {
+  boot::DaemonSettings Result;
+  Result.InstanceName = "entry-1";
+  return Result;
+}
+
+class RegistrationTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RegistrationTest);
+  CPPUNIT_TEST(aDaemonRegistersAndReadsTheRecordsAfterwards);
+  CPPUNIT_TEST(withoutTheRecordsTheLeaseIsNotUsed);
+  CPPUNIT_TEST(anEndedLeaseIsReplacedAtOnce);
+  CPPUNIT_TEST(aReleasedLeaseIsNotUsedAnyMore);
+  CPPUNIT_TEST_SUITE_END();
+
+  runtime::asio::io_context Io;
+  std::ostringstream Lines;
+  telemetry::Log Log{"test", telemetry::LogLevel::Info, Lines};
+  platform::FakeStore Store{Io};
+  State S{Io, settings(), Store.address(), Log};
+  StoreView View{S};
+  Registration Subject{S, View};
+
+  void workFor(Duration Limit) {
+    Io.restart();
+    Io.run_for(Limit);
+  }
+
+  bool hasLease() const { return S.Lease.isValid(runtime::bootTime()); }
+
+  void aDaemonRegistersAndReadsTheRecordsAfterwards() {
+    runtime::spawn(Io, Subject.run());
+    workFor(milliseconds(200));
+    CPPUNIT_ASSERT(hasLease());
+    CPPUNIT_ASSERT(Store.contains(OwnKey));
+    CPPUNIT_ASSERT(Store.Calls.back().find("kv-range") != std::string::npos);
+  }
+
+  void withoutTheRecordsTheLeaseIsNotUsed() {
+    Store.Intercept =
+        [](const http::Request &Call) -> std::optional<http::Response> {
+      if (Call.Target.find("kv-range") == std::string::npos)
+        return std::nullopt;
+      return http::Response{503, "{}"};
+    };
+    runtime::spawn(Io, Subject.run());
+    workFor(milliseconds(200));
+    CPPUNIT_ASSERT(!hasLease());
+  }
+
+  // A daemon without a lease must not use any primary, so each pause before it
+  // registers anew is an outage for its callers.
+  void anEndedLeaseIsReplacedAtOnce() {
+    runtime::spawn(Io, Subject.run());
+    workFor(milliseconds(200));
+    Store.endLeases();
+    workFor(milliseconds(1300));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Store.count("POST /v1/kv-lease"));
+    CPPUNIT_ASSERT(hasLease());
+    CPPUNIT_ASSERT(Store.contains(OwnKey));
+  }
+
+  void aReleasedLeaseIsNotUsedAnyMore() {
+    runtime::spawn(Io, Subject.run());
+    workFor(milliseconds(200));
+    S.Stopping = true;
+    runtime::spawn(Io, Subject.release());
+    workFor(milliseconds(200));
+    CPPUNIT_ASSERT(!hasLease());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Store.count("kv-lease-end"));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RegistrationTest);
+
+} // namespace
+} // namespace borageridge::entry
--- a/src/entry/StoreView.cpp
+++ b/src/entry/StoreView.cpp
@@ -76,10 +76,7 @@
   }
   if (Failed == nullptr && LostSince) {
     S.Log.write(event::StoreRegained,
-                static_cast<std::uint64_t>(
-                    std::chrono::duration_cast<std::chrono::milliseconds>(
-                        Now - *LostSince)
-                        .count()));
+                runtime::toMilliseconds(Now - *LostSince));
     LostSince.reset();
   }
 }
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -28,6 +28,7 @@
   Request Call;
   Call.Method = std::string(Message.method_string());
   Call.Target = std::string(Message.target());
+  Call.Body = std::move(Message.body());
   Response Result = Answer(Call);
   beast::http::response<beast::http::string_body> Reply;
   Reply.version(Message.version());
@@ -41,45 +42,25 @@
   co_return !Error && Message.keep_alive();
 }
 
-Task<void> serveConnection(tcp::socket Socket, const Handler &Answer) {
+Task<void> serveConnection(tcp::socket Socket, Handler Answer) {
   runtime::setUsualOptions(Socket);
   beast::flat_buffer Buffer;
   while (co_await serveOne(Socket, Buffer, Answer)) {
   }
 }
 
-Task<void> accept(runtime::asio::io_context &Io, tcp::acceptor Acceptor,
-                  Handler Answer) {
-  for (;;) {
-    error_code Error;
-    tcp::socket Socket =
-        co_await Acceptor.async_accept(redirect_error(use_awaitable, Error));
-    if (Error)
-      co_await runtime::sleepFor(std::chrono::milliseconds(10));
-    else
-      runtime::spawn(Io, serveConnection(std::move(Socket), Answer));
-  }
-}
-
 } // namespace
 
+runtime::SocketHandler connectionHandler(runtime::asio::io_context &Io,
+                                         Handler Answer) {
+  return [&Io, Answer = std::move(Answer)](tcp::socket Socket) {
+    runtime::spawn(Io, serveConnection(std::move(Socket), Answer));
+  };
+}
+
 Expected<void> serve(runtime::asio::io_context &Io, tcp::endpoint Address,
                      Handler Answer) {
-  tcp::acceptor Acceptor(Io);
-  error_code Error;
-  Acceptor.open(tcp::v4(), Error);
-  if (!Error)
-    Acceptor.set_option(tcp::acceptor::reuse_address(true), Error);
-  if (!Error)
-    Acceptor.bind(Address, Error);
-  if (!Error)
-    Acceptor.listen(runtime::asio::socket_base::max_listen_connections, Error);
-  if (Error)
-    return Failure{FailureKind::Unavailable,
-                   "cannot listen on " + Address.address().to_string() + ":" +
-                       std::to_string(Address.port()) + ": " + Error.message()};
-  runtime::spawn(Io, accept(Io, std::move(Acceptor), std::move(Answer)));
-  return BOOST_OUTCOME_V2_NAMESPACE::success();
+  return runtime::serve(Io, Address, connectionHandler(Io, std::move(Answer)));
 }
 
 } // namespace borageridge::http
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -4,6 +4,7 @@
 #include "borageridge/Failure.h"
 #include "http/Http.h"
 #include "runtime/Async.h"
+#include "runtime/Listener.h"
 
 #include <functional>
 #include <string>
@@ -18,6 +19,10 @@
 Expected<void> serve(runtime::asio::io_context &Io,
                      runtime::tcp::endpoint Address, Handler Answer);
 
+/// Serves the connections of a listener.
+runtime::SocketHandler connectionHandler(runtime::asio::io_context &Io,
+                                         Handler Answer);
+
 } // namespace borageridge::http
 
 #endif // BORAGERIDGE_HTTP_HTTPSERVER_H
--- a/src/keyvalue/StoreClient.cpp
+++ b/src/keyvalue/StoreClient.cpp
@@ -24,11 +24,6 @@
   return Answer.Status == 503 || Answer.Status == 429;
 }
 
-std::uint64_t milliseconds(Duration D) {
-  return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(D).count());
-}
-
 } // namespace
 
 StoreClient::StoreClient(runtime::asio::io_context &Io,
@@ -111,7 +106,8 @@
 Task<Expected<WatchResult>> StoreClient::watch(std::string Prefix,
                                                Revision After, Duration Wait) {
   Expected<http::Response> Answer = co_await call(
-      Watches, platform::watchCall(Prefix, After, milliseconds(Wait)),
+      Watches,
+      platform::watchCall(Prefix, After, runtime::toMilliseconds(Wait)),
       Wait + WatchSlack, true);
   if (!Answer)
     co_return std::move(Answer).error();
@@ -127,8 +123,9 @@
 }
 
 Task<Expected<LeaseGrant>> StoreClient::grant(Duration Ttl) {
-  Expected<http::Response> Answer = co_await call(
-      Direct, platform::leaseCall(milliseconds(Ttl)), CallLimit, true);
+  Expected<http::Response> Answer =
+      co_await call(Direct, platform::leaseCall(runtime::toMilliseconds(Ttl)),
+                    CallLimit, true);
   if (!Answer)
     co_return std::move(Answer).error();
   co_return platform::decodeLease(Answer.value());
--- a/src/peer/PeerChannel.cpp
+++ b/src/peer/PeerChannel.cpp
@@ -1,5 +1,7 @@
 #include "peer/PeerChannel.h"
 
+#include "runtime/Listener.h"
+
 #include <array>
 #include <deque>
 #include <utility>
@@ -109,19 +111,6 @@
   Writer->close();
 }
 
-Task<void> accept(runtime::asio::io_context &Io, tcp::acceptor Acceptor,
-                  Handler Answer) {
-  for (;;) {
-    error_code Error;
-    tcp::socket Socket =
-        co_await Acceptor.async_accept(redirect_error(use_awaitable, Error));
-    if (Error)
-      co_await runtime::sleepFor(std::chrono::milliseconds(10));
-    else
-      runtime::spawn(Io, serveConnection(Io, std::move(Socket), Answer));
-  }
-}
-
 } // namespace
 
 struct PeerChannel::Pending {
@@ -207,20 +196,10 @@
 
 Expected<void> serve(runtime::asio::io_context &Io, tcp::endpoint Address,
                      Handler Answer) {
-  tcp::acceptor Acceptor(Io);
-  error_code Error;
-  Acceptor.open(tcp::v4(), Error);
-  if (!Error)
-    Acceptor.set_option(tcp::acceptor::reuse_address(true), Error);
-  if (!Error)
-    Acceptor.bind(Address, Error);
-  if (!Error)
-    Acceptor.listen(runtime::asio::socket_base::max_listen_connections, Error);
-  if (Error)
-    return Failure{FailureKind::Unavailable,
-                   "cannot listen for peers: " + Error.message()};
-  runtime::spawn(Io, accept(Io, std::move(Acceptor), std::move(Answer)));
-  return BOOST_OUTCOME_V2_NAMESPACE::success();
+  return runtime::serve(
+      Io, Address, [&Io, Answer = std::move(Answer)](tcp::socket Socket) {
+        runtime::spawn(Io, serveConnection(Io, std::move(Socket), Answer));
+      });
 }
 
 } // namespace borageridge::peer
--- a/src/runtime/Clock.cpp
+++ b/src/runtime/Clock.cpp
@@ -13,4 +13,9 @@
               std::chrono::nanoseconds(Now.tv_nsec));
 }
 
+std::uint64_t toMilliseconds(Duration D) {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(D).count());
+}
+
 } // namespace borageridge::runtime
