--- /dev/null
+++ b/src/entry/ExchangeTest.cpp
@@ -0,0 +1,131 @@
+#include "entry/Exchange.h"
+
+#include "runtime/Clock.h"
+#include "runtime/Listener.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <optional>
+#include <sstream>
+
+namespace borageridge::entry {
+namespace {
+
+using peer::Message;
+using std::chrono::milliseconds;
+
+boot::DaemonSettings settings() {
+  boot::DaemonSettings Result;
+  Result.InstanceName = "entry-1";
+  Result.AvailabilityZone = "z1";
+  return Result;
+}
+
+class ExchangeTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ExchangeTest);
+  CPPUNIT_TEST(theNewsTellTheVersionOfTheConfiguration);
+  CPPUNIT_TEST(aPeersNewerConfigurationIsRemembered);
+  CPPUNIT_TEST(aPeerThatDoesNotAnswerIsLostAndAskedEachRound);
+  CPPUNIT_TEST(relinquishingEndsTheUseOfThePrimary);
+  CPPUNIT_TEST(aServiceThatIsNotKnownIsRelinquishedAtOnce);
+  CPPUNIT_TEST_SUITE_END();
+
+  runtime::asio::io_context Io;
+  std::ostringstream Lines;
+  telemetry::Log Log{"test", telemetry::LogLevel::Info, Lines};
+  State S{Io, settings(), runtime::tcp::endpoint(), Log};
+  Exchange Subject{S};
+
+  void workFor(Duration Limit) {
+    Io.restart();
+    Io.run_for(Limit);
+  }
+
+  Message answerTo(Message Request) {
+    std::optional<Message> Result;
+    const auto Await = [&]() -> runtime::Task<void> {
+      Result = co_await Subject.answer(Request);
+      Io.stop();
+    };
+    runtime::spawn(Io, Await());
+    workFor(std::chrono::seconds(2));
+    CPPUNIT_ASSERT(Result.has_value());
+    return *Result;
+  }
+
+  /// A port on which nobody listens any more.
+  std::uint16_t freePort() {
+    return runtime::listen(Io, {runtime::asio::ip::address_v4::loopback(), 0})
+        .value()
+        .local_endpoint()
+        .port();
+  }
+
+  void addPeer(const std::string &Name, std::uint16_t Port) {
+    S.Peers[Name].Channel = std::make_shared<peer::PeerChannel>(
+        Io, runtime::tcp::endpoint(runtime::asio::ip::address_v4::loopback(),
+                                   Port));
+    S.Daemons[Name].Name = Name;
+  }
+
+  void theNewsTellTheVersionOfTheConfiguration() {
+    catalog::Catalog Config;
+    Config.Version = 12;
+    S.Runner.setCatalog(Config);
+    CPPUNIT_ASSERT_EQUAL(
+        std::uint64_t(12),
+        answerTo({{"type", "exchange"}}).value("config", std::uint64_t(0)));
+  }
+
+  void aPeersNewerConfigurationIsRemembered() {
+    const std::uint16_t Port = freePort();
+    const auto Bound =
+        peer::serve(Io, {runtime::asio::ip::address_v4::loopback(), Port},
+                    [](Message) -> runtime::Task<Message> {
+                      Message News = {{"config", 9}, {"store", true}};
+                      co_return News;
+                    });
+    CPPUNIT_ASSERT(Bound.has_value());
+    addPeer("entry-2", Port);
+    runtime::spawn(Io, Subject.run());
+    workFor(milliseconds(400));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(9), S.NewestConfigSeen);
+  }
+
+  void aPeerThatDoesNotAnswerIsLostAndAskedEachRound() {
+    const std::uint16_t Port = freePort();
+    addPeer("entry-2", Port);
+    runtime::spawn(Io, Subject.run());
+    workFor(milliseconds(300));
+    CPPUNIT_ASSERT(S.Peers["entry-2"].Lost);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), S.LostPeers.size());
+  }
+
+  void relinquishingEndsTheUseOfThePrimary() {
+    auto &Pool = S.ByService["db"];
+    Pool = std::make_unique<pool::ServicePool>(S.Shared, "db");
+    const Time Now = runtime::bootTime();
+    S.Lease.confirm(7, Now, std::chrono::seconds(60));
+    Pool->setRecord({9, 1, "p", false, 0}, Now);
+    CPPUNIT_ASSERT(Pool->mayUsePrimary(Now));
+    const Message Done = answerTo({{"type", "relinquish"},
+                                   {"service", "db"},
+                                   {"ends", 9},
+                                   {"epoch", 0},
+                                   {"record", ""}});
+    CPPUNIT_ASSERT(Done.value("done", false));
+    CPPUNIT_ASSERT(!Pool->mayUsePrimary(Now));
+    CPPUNIT_ASSERT(!Pool->mayAcknowledge(9, Now));
+  }
+
+  void aServiceThatIsNotKnownIsRelinquishedAtOnce() {
+    CPPUNIT_ASSERT(
+        answerTo({{"type", "relinquish"}, {"service", "other"}, {"ends", 9}})
+            .value("done", false));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ExchangeTest);
+
+} // namespace
+} // namespace borageridge::entry
--- /dev/null
+++ b/src/pool/ServicePoolUpkeep.cpp
@@ -0,0 +1,119 @@
+#include "pool/ServicePool.h"
+
+#include "entry/Events.h"
+#include "platform/Wire.h"
+#include "runtime/Clock.h"
+
+#include <utility>
+
+namespace borageridge::pool {
+namespace {
+
+using runtime::bootTime;
+using runtime::Task;
+using statement::Reply;
+
+// A member that was not heard for this long is probed.
+constexpr Duration ProbeInterval = std::chrono::milliseconds(250);
+// A probe takes no slot; its answer is one round trip away.
+constexpr Duration ProbeLimit = std::chrono::milliseconds(400);
+
+} // namespace
+
+Task<Connection> ServicePool::takeOrConnect(std::string Member,
+                                            Duration Limit) {
+  MemberState *M = find(Member);
+  if (M == nullptr)
+    co_return nullptr;
+  if (Connection Link = takeIdle(*M))
+    co_return Link;
+  co_return co_await connect(Member, Limit);
+}
+
+void ServicePool::putBack(const Connection &Link, Time Now) {
+  MemberState *M = find(Link->member());
+  if (M == nullptr || !M->Registered || !Link->isOpen()) {
+    Link->close();
+    return;
+  }
+  Link->markIdle(Now);
+  M->Idle.push_back(Link);
+  wake(Now);
+}
+
+Task<Expected<Reply, Loss>>
+ServicePool::callMember(std::string Member, std::string Bytes, Duration Limit) {
+  Checkout Own;
+  Own.Link = co_await takeOrConnect(Member, Limit);
+  if (!Own.Link)
+    co_return Loss::NotSent;
+  Own.Epoch = Record.Epoch;
+  Expected<Reply, Loss> Answer = co_await call(Own, std::move(Bytes), Limit);
+  putBack(Own.Link, bootTime());
+  co_return Answer;
+}
+
+Task<Expected<Reply, Loss>> ServicePool::ping(std::string Member,
+                                              Duration Limit) {
+  Checkout Own;
+  Own.Link = co_await takeOrConnect(Member, Limit);
+  if (!Own.Link)
+    co_return Loss::NotSent;
+  Own.Epoch = Record.Epoch;
+  Expected<Reply, Loss> Answer =
+      co_await call(Own, platform::encodeReset(), Limit);
+  if (Answer && Answer.value().succeeded())
+    Own.Link->state() = {};
+  else
+    Own.Link->close();
+  putBack(Own.Link, bootTime());
+  co_return Answer;
+}
+
+Task<void> ServicePool::probe(std::string Member) {
+  const Time Start = bootTime();
+  const Expected<Reply, Loss> Answer = co_await ping(Member, ProbeLimit);
+  MemberState *M = find(Member);
+  if (M == nullptr)
+    co_return;
+  M->Probing = false;
+  if (!Answer && Answer.error() == Loss::MayHaveRun)
+    M->Health.unanswered(Start);
+}
+
+void ServicePool::closeSurplus(MemberState &M, Time Now) {
+  while (!M.Idle.empty() &&
+         M.Budget.isSurplus(M.connections() - M.Opening, connectionLimit(),
+                            Now - M.Idle.front()->idleSince(), Now)) {
+    M.Idle.front()->close();
+    M.Idle.erase(M.Idle.begin());
+  }
+}
+
+void ServicePool::reportHealth(MemberState &M, Time Now) {
+  const bool Suspected = M.Health.isSuspected(Now);
+  if (Suspected == M.ReportedSuspected)
+    return;
+  M.ReportedSuspected = Suspected;
+  const std::optional<Evidence> Seen = M.Health.evidence(Now);
+  if (Suspected)
+    Shared.Log.write(entry::event::MemberSuspected, Service, M.Info.Id,
+                     Seen && Seen->Refused ? "refused" : "silent");
+  else
+    Shared.Log.write(entry::event::MemberRecovered, Service, M.Info.Id);
+}
+
+void ServicePool::tick(Time Now) {
+  for (auto &[Id, M] : Members) {
+    closeSurplus(M, Now);
+    reportHealth(M, Now);
+    const bool Quiet = Now - M.Health.lastAnswer() > ProbeInterval;
+    if (M.Registered && Quiet && !M.Probing && Holding) {
+      M.Probing = true;
+      runtime::spawn(Shared.Io, probe(Id));
+    }
+  }
+  wake(Now);
+}
+
+} // namespace borageridge::pool
