Count the denial of a primary from its own record on; decide on newest entries

And the time since a primary denied its role was kept by service, not by epoch: once it had run, each successor was replaced about 0.1 s after its promotion, before its entry said that it leads. From 17 s to 31 s the service had eleven changes of primary and hardly any writes. The second fault is older than this change: it had shown as one needless change.

Change: change/HeldSince keeps the time for one epoch; the holder of the duty reads the newest entries.

--- a/src/entry/Coordinator.cpp
+++ b/src/entry/Coordinator.cpp
@@ -144,14 +144,6 @@
         Seen != Other.Last.About.end())
       About.push_back(Seen->second);
   }
-  const auto Track = [Now](std::map<std::string, Time> &Since,
-                           const std::string &Key, bool Holds) {
-    if (!Holds) {
-      Since.erase(Key);
-      return std::optional<Time>();
-    }
-    return std::optional(Since.try_emplace(Key, Now).first->second);
-  };
   change::Situation Known;
   Known.Record = Record;
   Known.Members = Members;
@@ -162,9 +154,9 @@
                                                    ? S.Daemons.size()
                                                    : Holders->second.size());
   const catalog::Member *Primary = Pool.primary();
-  Known.NotLeadingSince = Track(NotLeadingSince, Service,
-                                Primary != nullptr && !Primary->ClaimsPrimary);
-  Known.GoneSince = Track(GoneSince, Service, Primary == nullptr);
+  Known.NotLeadingSince = NotLeading[Service].update(
+      Record.Epoch, Primary != nullptr && !Primary->ClaimsPrimary, Now);
+  Known.GoneSince = Gone[Service].update(Record.Epoch, Primary == nullptr, Now);
   return changeCause(Known, Now);
 }
 
--- a/src/entry/Coordinator.h
+++ b/src/entry/Coordinator.h
@@ -2,6 +2,7 @@
 #define BORAGERIDGE_ENTRY_COORDINATOR_H
 
 #include "change/ChangePolicy.h"
+#include "change/HeldSince.h"
 #include "cluster/UseLease.h"
 #include "entry/Exchange.h"
 #include "entry/State.h"
@@ -62,8 +63,9 @@
   std::uint64_t FencingToken = 0;
   Time RenewedAt;
   std::set<std::string> Running;
-  std::map<std::string, Time> NotLeadingSince;
-  std::map<std::string, Time> GoneSince;
+  /// By service.
+  std::map<std::string, change::HeldSince> NotLeading;
+  std::map<std::string, change::HeldSince> Gone;
 };
 
 } // namespace borageridge::entry
--- a/src/entry/StoreView.cpp
+++ b/src/entry/StoreView.cpp
@@ -157,13 +157,17 @@
   }
 }
 
+// The daemon that replaces primaries needs the newest entries: an old one may
+// deny a primary that leads by now.
 Task<void> StoreView::pollMembers() {
   Time Regained;
   for (;;) {
     const bool Fresh = Regained != Time() && bootTime() - Regained < Reentry;
-    Expected<keyvalue::RangePage> Page = co_await S.Store.range(
-        std::string(platform::MemberPrefix),
-        Fresh ? keyvalue::ReadMode::Newest : keyvalue::ReadMode::MayBeOld);
+    const bool Decides = S.Promoter.Value == S.Settings.InstanceName;
+    Expected<keyvalue::RangePage> Page =
+        co_await S.Store.range(std::string(platform::MemberPrefix),
+                               Fresh || Decides ? keyvalue::ReadMode::Newest
+                                                : keyvalue::ReadMode::MayBeOld);
     const Time Now = bootTime();
     noteResult("range", Page ? nullptr : &Page.error(), Now);
     if (!Page) {
@@ -176,8 +180,9 @@
     applyMembers(Page.value(), Now);
     MembersLoaded = true;
     noteLoaded(Now);
-    co_await runtime::sleepFor(
-        Fresh || holdsConnections() ? MembersInterval : SpareMembersInterval);
+    co_await runtime::sleepFor(Fresh || Decides || holdsConnections()
+                                   ? MembersInterval
+                                   : SpareMembersInterval);
   }
 }
 
