Close idle connections of daemons that hold none; read members again soon

Beside, the first read of the members after a start was followed by a pause of 3 s where a daemon did not hold connections yet.

Change: a daemon that does not hold the connections of a service opens one to a member only on demand and closes it once it is idle; the second read of members follows after 0.5 s.

Tests: ExecutorTest aDaemonThatHoldsNoConnectionsClosesIdleOnes, aHolderKeepsAnIdleConnection.

--- a/src/entry/ExecutorTest.cpp
+++ b/src/entry/ExecutorTest.cpp
@@ -46,6 +46,8 @@
   CPPUNIT_TEST(aWriteAnsweredAfterTheUseEndedIsInDoubt);
   CPPUNIT_TEST(variablesOfAnotherSessionAreClearedFirst);
   CPPUNIT_TEST(anAbandonedTransactionIsRolledBack);
+  CPPUNIT_TEST(aHolderKeepsAnIdleConnection);
+  CPPUNIT_TEST(aDaemonThatHoldsNoConnectionsClosesIdleOnes);
   CPPUNIT_TEST_SUITE_END();
 
   runtime::asio::io_context Io;
@@ -234,6 +236,26 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Primary.count("RESET"));
   }
 
+  std::size_t connectionsAfterIdling() {
+    CPPUNIT_ASSERT(run(S, Write).succeeded());
+    Io.restart();
+    Io.run_for(milliseconds(600));
+    pool().tick(runtime::bootTime());
+    return pool().openConnections();
+  }
+
+  void aHolderKeepsAnIdleConnection() {
+    pool().setHolding(true, 4);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), connectionsAfterIdling());
+  }
+
+  // On a member with few connections, one kept by each daemon of a large fleet
+  // leaves none to those that hold them for all.
+  void aDaemonThatHoldsNoConnectionsClosesIdleOnes() {
+    pool().setHolding(false, 4);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), connectionsAfterIdling());
+  }
+
   void anAbandonedTransactionIsRolledBack() {
     Primary.Answer = [](const std::string &Text) {
       return Text.find("ROLLBACK") == std::string::npos ? InTransaction
--- a/src/entry/StoreView.cpp
+++ b/src/entry/StoreView.cpp
@@ -160,9 +160,9 @@
 // The daemon that replaces primaries needs the newest entries: an old one may
 // deny a primary that leads by now.
 Task<void> StoreView::pollMembers() {
-  Time Regained;
+  std::optional<Time> Regained;
   for (;;) {
-    const bool Fresh = Regained != Time() && bootTime() - Regained < Reentry;
+    const bool Fresh = Regained && bootTime() - *Regained < Reentry;
     const bool Decides = S.Promoter.Value == S.Settings.InstanceName;
     Expected<keyvalue::RangePage> Page =
         co_await S.Store.range(std::string(platform::MemberPrefix),
@@ -171,18 +171,18 @@
     const Time Now = bootTime();
     noteResult("range", Page ? nullptr : &Page.error(), Now);
     if (!Page) {
-      Regained = Time();
+      Regained.reset();
       co_await runtime::sleepFor(FailurePause);
       continue;
     }
-    if (Regained == Time())
+    const bool First = !Regained;
+    if (First)
       Regained = Now;
     applyMembers(Page.value(), Now);
     MembersLoaded = true;
     noteLoaded(Now);
-    co_await runtime::sleepFor(Fresh || Decides || holdsConnections()
-                                   ? MembersInterval
-                                   : SpareMembersInterval);
+    const bool Soon = First || Fresh || Decides || holdsConnections();
+    co_await runtime::sleepFor(Soon ? MembersInterval : SpareMembersInterval);
   }
 }
 
--- a/src/pool/ServicePool.cpp
+++ b/src/pool/ServicePool.cpp
@@ -17,9 +17,6 @@
 
 // Covers a connect, the endpoint's work for a new connection and a queue there.
 constexpr Duration OpenLimit = std::chrono::milliseconds(700);
-// Connections to each member of a daemon that does not hold them for others,
-// while sessions that began here have not left yet.
-constexpr std::uint32_t StrayConnections = 1;
 constexpr Duration RelinquishStep = std::chrono::milliseconds(5);
 // Waiting statements: a second of work at a usual rate.
 constexpr std::size_t MaxWaiting = 512;
@@ -166,8 +163,15 @@
 }
 
 std::uint32_t ServicePool::connectionLimit() const {
-  return Holding ? connectionShare(Spec.MaxConnections, SharingDaemons)
-                 : StrayConnections;
+  return Holding ? connectionShare(Spec.MaxConnections, SharingDaemons) : 0;
+}
+
+// A daemon that does not hold connections for others needs one for sessions
+// that began here and have not left yet; it is closed as soon as it is idle.
+bool ServicePool::mayOpen(const MemberState &M, Time Now) const {
+  const std::uint32_t Connections = M.connections();
+  return Holding ? M.Budget.mayOpen(Connections, connectionLimit(), Now)
+                 : Connections == 0 && M.Budget.mayOpen(Connections, 1, Now);
 }
 
 MemberLoad ServicePool::loadOf(MemberState &M, const Demand &D,
@@ -180,8 +184,7 @@
                D.Excluded.end();
   L.SameZone = M.Info.AvailabilityZone == Shared.AvailabilityZone;
   L.HasIdleConnection = !M.Idle.empty();
-  L.CanOpenConnection =
-      M.Budget.mayOpen(M.connections(), connectionLimit(), Now);
+  L.CanOpenConnection = mayOpen(M, Now);
   L.Slots = M.Info.Slots;
   L.Sharers = SharingDaemons;
   L.OwnInFlight = M.inFlight();
--- a/src/pool/ServicePool.h
+++ b/src/pool/ServicePool.h
@@ -180,6 +180,7 @@
   bool isPrimary(const MemberState &M) const;
   bool isUsable(const MemberState &M, Time Now) const;
   std::uint32_t connectionLimit() const;
+  bool mayOpen(const MemberState &M, Time Now) const;
   MemberLoad loadOf(MemberState &M, const Demand &D, Time Now) const;
   std::optional<Checkout> tryPlace(const Demand &D, Time Now);
   bool hasUsableMember(const Demand &D, Time Now) const;
