--- a/src/entry/Coordinator.cpp
+++ b/src/entry/Coordinator.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 using change::Cause;
-using change::MemberReport;
 using cluster::GroupRecord;
 using runtime::bootTime;
 using runtime::Task;
--- a/src/keyvalue/StoreClientTest.cpp
+++ b/src/keyvalue/StoreClientTest.cpp
@@ -123,7 +123,8 @@
     };
     runtime::spawn(Io, Watch());
     const auto Renew = [&]() -> Task<void> {
-      co_await Hanging.renew(3);
+      const Expected<void> Renewed = co_await Hanging.renew(3);
+      CPPUNIT_ASSERT(!Renewed.has_value());
       co_await runtime::sleepFor(milliseconds(50));
       Io.stop();
     };
