--- a/src/entry/CallerConnectionTest.cpp
+++ b/src/entry/CallerConnectionTest.cpp
@@ -1,11 +1,11 @@
 #include "entry/CallerConnection.h"
 
 #include "entry/FakeMember.h"
+#include "entry/StateFixture.h"
 #include "runtime/Clock.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <sstream>
 #include <utility>
 
 namespace borageridge::entry {
@@ -17,16 +17,9 @@
 
 constexpr std::string_view Write = "QUERY q1 WRITE 1 x\r\n";
 
-boot::DaemonSettings settings() {
-  boot::DaemonSettings Result;
-  Result.InstanceName = "entry-1";
-  Result.AvailabilityZone = "z1";
-  return Result;
-}
-
 // A caller whose daemon forwards its session to the daemon that holds the
 // connections of the service.
-class CallerConnectionTest : public CppUnit::TestFixture {
+class CallerConnectionTest : public CppUnit::TestFixture, StateFixture {
   CPPUNIT_TEST_SUITE(CallerConnectionTest);
   CPPUNIT_TEST(aStatementIsForwardedToTheHolder);
   CPPUNIT_TEST(anIdleCallerIsClosedWhenTheHolderEndsItsSession);
@@ -40,9 +33,6 @@
   CPPUNIT_TEST(aForwardedSessionDoesNotWaitForTheFleet);
   CPPUNIT_TEST_SUITE_END();
 
-  runtime::asio::io_context Io;
-  std::ostringstream Lines;
-  telemetry::Log Log{"test", telemetry::LogLevel::Info, Lines};
   State S{Io, settings(), tcp::endpoint(), Log};
   Forwarding Sessions{S};
   FakeMember Holder{Io, "entry-2"};
@@ -98,10 +88,7 @@
     co_await Subject->run();
   }
 
-  void work() {
-    Io.restart();
-    Io.run_for(milliseconds(50));
-  }
+  void work() { workFor(milliseconds(50)); }
 
   /// What the caller has received; "closed" if the connection has ended.
   std::string received() {
--- a/src/entry/ExchangeTest.cpp
+++ b/src/entry/ExchangeTest.cpp
@@ -1,12 +1,12 @@
 #include "entry/Exchange.h"
 
+#include "entry/StateFixture.h"
 #include "runtime/Clock.h"
 #include "runtime/Listener.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <optional>
-#include <sstream>
 
 namespace borageridge::entry {
 namespace {
@@ -14,14 +14,7 @@
 using peer::Message;
 using std::chrono::milliseconds;
 
-boot::DaemonSettings settings() {
-  boot::DaemonSettings Result;
-  Result.InstanceName = "entry-1";
-  Result.AvailabilityZone = "z1";
-  return Result;
-}
-
-class ExchangeTest : public CppUnit::TestFixture {
+class ExchangeTest : public CppUnit::TestFixture, StateFixture {
   CPPUNIT_TEST_SUITE(ExchangeTest);
   CPPUNIT_TEST(theNewsTellTheVersionOfTheConfiguration);
   CPPUNIT_TEST(aPeersNewerConfigurationIsRemembered);
@@ -30,17 +23,9 @@
   CPPUNIT_TEST(aServiceThatIsNotKnownIsRelinquishedAtOnce);
   CPPUNIT_TEST_SUITE_END();
 
-  runtime::asio::io_context Io;
-  std::ostringstream Lines;
-  telemetry::Log Log{"test", telemetry::LogLevel::Info, Lines};
   State S{Io, settings(), runtime::tcp::endpoint(), Log};
   Exchange Subject{S};
 
-  void workFor(Duration Limit) {
-    Io.restart();
-    Io.run_for(Limit);
-  }
-
   Message answerTo(Message Request) {
     std::optional<Message> Result;
     const auto Await = [&]() -> runtime::Task<void> {
--- a/src/entry/RegistrationTest.cpp
+++ b/src/entry/RegistrationTest.cpp
@@ -1,12 +1,11 @@
 #include "entry/Registration.h"
 
+#include "entry/StateFixture.h"
 #include "platform/testing/FakeStore.h"
 #include "runtime/Clock.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <sstream>
-
 namespace borageridge::entry {
 namespace {
 
@@ -14,13 +13,7 @@
 
 const std::string OwnKey = "borageridge/daemons/entry-1";
 
-boot::DaemonSettings settings() {
-  boot::DaemonSettings Result;
-  Result.InstanceName = "entry-1";
-  return Result;
-}
-
-class RegistrationTest : public CppUnit::TestFixture {
+class RegistrationTest : public CppUnit::TestFixture, StateFixture {
   CPPUNIT_TEST_SUITE(RegistrationTest);
   CPPUNIT_TEST(aDaemonRegistersAndReadsTheRecordsAfterwards);
   CPPUNIT_TEST(withoutTheRecordsTheLeaseIsNotUsed);
@@ -28,19 +21,11 @@
   CPPUNIT_TEST(aReleasedLeaseIsNotUsedAnyMore);
   CPPUNIT_TEST_SUITE_END();
 
-  runtime::asio::io_context Io;
-  std::ostringstream Lines;
-  telemetry::Log Log{"test", telemetry::LogLevel::Info, Lines};
   platform::FakeStore Store{Io};
   State S{Io, settings(), Store.address(), Log};
   StoreView View{S};
   Registration Subject{S, View};
 
-  void workFor(Duration Limit) {
-    Io.restart();
-    Io.run_for(Limit);
-  }
-
   bool hasLease() const { return S.Lease.isValid(runtime::bootTime()); }
 
   void aDaemonRegistersAndReadsTheRecordsAfterwards() {
