Apply the records found at registration before the lease begins

Cause: read in review. A daemon that registers reads the group records after its entry is written, because a change of primary that began before does not ask it. The records reached the pools in a coroutine of their own, which lets work in flight end for up to 300 ms; the lease counted at once. So for that time, and for statements already in the loop's queue, a daemon whose lease had lapsed could use and acknowledge the old primary although a change was under way.

Change: registration sets the records in the pools itself before it confirms the lease. Without a lease nothing in flight can be acknowledged, so nothing is waited for.

Tests: RegistrationTest aChangeFoundAtRegistrationEndsTheUseBeforeTheLeaseBegins, which failed before.

--- a/src/entry/Registration.cpp
+++ b/src/entry/Registration.cpp
@@ -61,6 +61,12 @@
   const Expected<void> Read = co_await View.refreshRecords();
   if (!Read)
     co_return false;
+  // Nothing that is in flight may be acknowledged without a lease, so no work
+  // is waited for.
+  for (const auto &[Service, Record] : S.Records)
+    if (const auto Found = S.ByService.find(Service);
+        Found != S.ByService.end())
+      Found->second->setRecord(Record, bootTime());
   S.Lease.confirm(Grant.value().Id, SentAt,
                   std::chrono::milliseconds(Grant.value().TtlMs));
   S.Log.write(event::LeaseGranted, Grant.value().Id);
--- a/src/entry/RegistrationTest.cpp
+++ b/src/entry/RegistrationTest.cpp
@@ -17,6 +17,7 @@
   CPPUNIT_TEST_SUITE(RegistrationTest);
   CPPUNIT_TEST(aDaemonRegistersAndReadsTheRecordsAfterwards);
   CPPUNIT_TEST(withoutTheRecordsTheLeaseIsNotUsed);
+  CPPUNIT_TEST(aChangeFoundAtRegistrationEndsTheUseBeforeTheLeaseBegins);
   CPPUNIT_TEST(anEndedLeaseIsReplacedAtOnce);
   CPPUNIT_TEST(aReleasedLeaseIsNotUsedAnyMore);
   CPPUNIT_TEST_SUITE_END();
@@ -48,6 +49,24 @@
     CPPUNIT_ASSERT(!hasLease());
   }
 
+  // The change does not wait for a daemon that registers after it began, so the
+  // daemon must know of it before it may use a primary again.
+  void aChangeFoundAtRegistrationEndsTheUseBeforeTheLeaseBegins() {
+    auto &Pool = S.ByService["db"];
+    Pool = std::make_unique<pool::ServicePool>(S.Shared, "db");
+    Pool->setRecord({1, 1, "p", false, 0}, runtime::bootTime());
+    cluster::GroupRecord Changing = Pool->record();
+    Changing.Changing = true;
+    keyvalue::Transaction Change;
+    Change.Puts.push_back({"borageridge/groups/db", encode(Changing), 0});
+    Store.commit(Change);
+    runtime::spawn(Io, Subject.run());
+    while (!hasLease())
+      CPPUNIT_ASSERT(Io.run_one_for(std::chrono::seconds(2)) != 0);
+    CPPUNIT_ASSERT(!Pool->mayUsePrimary(runtime::bootTime()));
+    CPPUNIT_ASSERT(!Pool->mayAcknowledge(1, runtime::bootTime()));
+  }
+
   // A daemon without a lease must not use any primary, so each pause before it
   // registers anew is an outage for its callers.
   void anEndedLeaseIsReplacedAtOnce() {
