Keep a use lease no longer than granted or released; log when it runs out

Cause: read in review. A renewal was counted with the time that the daemon had asked for, not with what the store granted. The answer to a renewal that was in flight when the daemon gave its lease up (on SIGTERM) made the lease valid again, although others no longer waited for it.

Change: UseLease keeps the time of the grant; an answer about another lease than the present one is ignored; Registration logs lease_lost when the lease runs out, and lease_granted when it is renewed after that.

Tests: RegistrationTest aRenewalLastsNoLongerThanTheLeaseThatWasGranted, aRenewalAnsweredAfterTheReleaseChangesNothing, aLeaseThatRunsOutIsLoggedOnce (all failed before), UseLeaseTest aRenewalLastsAsLongAsTheGrant.

--- a/src/cluster/UseLease.h
+++ b/src/cluster/UseLease.h
@@ -14,8 +14,11 @@
   /// of clocks and for work between a check and its effect.
   static constexpr Duration Margin = std::chrono::milliseconds(150);
 
-  /// A renewal that was sent at SentAt was confirmed.
+  /// The lease was granted for Ttl by a call that was sent at SentAt.
   void confirm(keyvalue::LeaseId Id, Time SentAt, Duration Ttl);
+  /// A renewal that was sent at SentAt was confirmed; it lasts as long as the
+  /// grant.
+  void renewed(Time SentAt);
   /// The lease is given up or was found to have ended.
   void drop();
 
@@ -26,6 +29,7 @@
 
 private:
   keyvalue::LeaseId Id = 0;
+  Duration Granted{};
   Time ValidUntil;
 };
 
--- a/src/cluster/UseLeaseTest.cpp
+++ b/src/cluster/UseLeaseTest.cpp
@@ -14,6 +14,7 @@
   CPPUNIT_TEST(itEndsBeforeTheStoreEndsIt);
   CPPUNIT_TEST(aLateAnswerDoesNotLengthenIt);
   CPPUNIT_TEST(answersOutOfOrderDoNotShortenIt);
+  CPPUNIT_TEST(aRenewalLastsAsLongAsTheGrant);
   CPPUNIT_TEST(anotherLeaseReplacesIt);
   CPPUNIT_TEST(aSuspendedDaemonFindsItOver);
   CPPUNIT_TEST(aDroppedLeaseIsNotValid);
@@ -49,6 +50,14 @@
     CPPUNIT_ASSERT(Subject.isValid(Start + milliseconds(7500)));
   }
 
+  void aRenewalLastsAsLongAsTheGrant() {
+    UseLease Subject;
+    Subject.confirm(7, Start, seconds(3));
+    Subject.renewed(Start + seconds(2));
+    CPPUNIT_ASSERT(Subject.isValid(Start + milliseconds(4800)));
+    CPPUNIT_ASSERT(!Subject.isValid(Start + seconds(5)));
+  }
+
   void anotherLeaseReplacesIt() {
     UseLease Subject;
     Subject.confirm(7, Start + seconds(2), seconds(6));
--- a/src/entry/Coordinator.cpp
+++ b/src/entry/Coordinator.cpp
@@ -93,7 +93,8 @@
     co_return;
   }
   Duty = cluster::UseLease();
-  Duty.confirm(Grant.value().Id, SentAt, DutyTtl);
+  Duty.confirm(Grant.value().Id, SentAt,
+               std::chrono::milliseconds(Grant.value().TtlMs));
   RenewedAt = SentAt;
   FencingToken = Written.value();
   S.Promoter.Key = Key;
@@ -112,7 +113,7 @@
   RenewedAt = bootTime();
   const Expected<void> Renewed = co_await S.Store.renew(Duty.id());
   if (Renewed) {
-    Duty.confirm(Duty.id(), RenewedAt, DutyTtl);
+    Duty.renewed(RenewedAt);
   } else if (Renewed.error().Kind == FailureKind::NotFound) {
     S.Log.write(event::DutyLost, "lease ended at the store");
     Duty.drop();
--- a/src/entry/Daemon.cpp
+++ b/src/entry/Daemon.cpp
@@ -141,6 +141,7 @@
   for (;;) {
     const Time Now = bootTime();
     View.tick(Now);
+    Lease.tick(Now);
     Sessions.tick();
     for (const auto &[Name, Pool] : S.ByService)
       Pool->tick(Now);
--- a/src/entry/Registration.cpp
+++ b/src/entry/Registration.cpp
@@ -77,14 +77,28 @@
   const keyvalue::LeaseId Id = S.Lease.id();
   const Time SentAt = bootTime();
   const Expected<void> Renewed = co_await S.Store.renew(Id);
+  if (S.Lease.id() != Id)
+    co_return;
   if (Renewed) {
-    S.Lease.confirm(Id, SentAt, LeaseTtl);
+    S.Lease.renewed(SentAt);
   } else if (Renewed.error().Kind == FailureKind::NotFound) {
     S.Log.write(event::LeaseLost, "ended at the store");
     S.Lease.drop();
   }
 }
 
+void Registration::tick(Time Now) {
+  const bool Valid = S.Lease.isValid(Now);
+  const keyvalue::LeaseId Id = S.Lease.id();
+  if (WasValid && !Valid && Id != 0) {
+    S.Log.write(event::LeaseLost, "not renewed in time");
+    RanOut = Id;
+  }
+  if (!WasValid && Valid && RanOut == Id)
+    S.Log.write(event::LeaseGranted, Id);
+  WasValid = Valid;
+}
+
 Task<void> Registration::release() {
   const keyvalue::LeaseId Id = S.Lease.id();
   if (Id == 0)
--- a/src/entry/Registration.h
+++ b/src/entry/Registration.h
@@ -16,6 +16,9 @@
   runtime::Task<void> run();
   /// Gives the lease up, so that nobody waits for its end.
   runtime::Task<void> release();
+  /// Logs when the lease runs out without an answer of the store, and when it
+  /// is renewed after that.
+  void tick(Time Now);
 
 private:
   runtime::Task<bool> registerAnew();
@@ -23,6 +26,9 @@
 
   State &S;
   StoreView &View;
+  bool WasValid = false;
+  /// The last lease that ran out; it may be renewed all the same.
+  keyvalue::LeaseId RanOut = 0;
 };
 
 } // namespace borageridge::entry
--- a/src/entry/RegistrationTest.cpp
+++ b/src/entry/RegistrationTest.cpp
@@ -18,8 +18,11 @@
   CPPUNIT_TEST(aDaemonRegistersAndReadsTheRecordsAfterwards);
   CPPUNIT_TEST(withoutTheRecordsTheLeaseIsNotUsed);
   CPPUNIT_TEST(aChangeFoundAtRegistrationEndsTheUseBeforeTheLeaseBegins);
+  CPPUNIT_TEST(aRenewalLastsNoLongerThanTheLeaseThatWasGranted);
+  CPPUNIT_TEST(aLeaseThatRunsOutIsLoggedOnce);
   CPPUNIT_TEST(anEndedLeaseIsReplacedAtOnce);
   CPPUNIT_TEST(aReleasedLeaseIsNotUsedAnyMore);
+  CPPUNIT_TEST(aRenewalAnsweredAfterTheReleaseChangesNothing);
   CPPUNIT_TEST_SUITE_END();
 
   platform::FakeStore Store{Io};
@@ -49,6 +52,29 @@
     CPPUNIT_ASSERT(!hasLease());
   }
 
+  void aRenewalLastsNoLongerThanTheLeaseThatWasGranted() {
+    Store.MaxTtlMs = 3000;
+    runtime::spawn(Io, Subject.run());
+    workFor(milliseconds(1400));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Store.count("kv-keep"));
+    CPPUNIT_ASSERT(S.Lease.validUntil() <
+                   runtime::bootTime() + milliseconds(3000));
+  }
+
+  void aLeaseThatRunsOutIsLoggedOnce() {
+    const Time Now = runtime::bootTime();
+    Subject.tick(Now);
+    CPPUNIT_ASSERT(!hasLogged("lease_lost"));
+    S.Lease.confirm(7, Now, milliseconds(1000));
+    Subject.tick(Now);
+    CPPUNIT_ASSERT(!hasLogged("lease_lost"));
+    Subject.tick(Now + milliseconds(1000));
+    Subject.tick(Now + milliseconds(1050));
+    CPPUNIT_ASSERT(hasLogged("lease_lost"));
+    CPPUNIT_ASSERT_EQUAL(Lines.str().find("lease_lost"),
+                         Lines.str().rfind("lease_lost"));
+  }
+
   // The change does not wait for a daemon that registers after it began, so the
   // daemon must know of it before it may use a primary again.
   void aChangeFoundAtRegistrationEndsTheUseBeforeTheLeaseBegins() {
@@ -79,6 +105,21 @@
     CPPUNIT_ASSERT(Store.contains(OwnKey));
   }
 
+  void aRenewalAnsweredAfterTheReleaseChangesNothing() {
+    Store.Intercept =
+        [this](const http::Request &Call) -> std::optional<http::Response> {
+      if (Call.Target.find("kv-keep") != std::string::npos) {
+        S.Stopping = true;
+        runtime::spawn(Io, Subject.release());
+      }
+      return std::nullopt;
+    };
+    runtime::spawn(Io, Subject.run());
+    workFor(milliseconds(1400));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Store.count("kv-keep"));
+    CPPUNIT_ASSERT(!hasLease());
+  }
+
   void aReleasedLeaseIsNotUsedAnyMore() {
     runtime::spawn(Io, Subject.run());
     workFor(milliseconds(200));
