Let the holder of the duty know of it at once; give it back when stopping

Cause: read in review. A daemon that took the duty waited for its watch to learn who has it: until then, up to 10 s if the watch's answer was lost, it read members' entries that may be old and asked peers at the slow rate. A daemon that was told to stop while it competed took the duty and kept it for the 3 s of its lease, in which nobody could replace a primary.

Change: the daemon enters itself as the holder; one that is stopping ends the lease instead; the answer to a renewal that is no longer its lease is ignored.

--- a/src/entry/Coordinator.cpp
+++ b/src/entry/Coordinator.cpp
@@ -88,7 +88,7 @@
   Claim.Puts.push_back({Key, S.Settings.InstanceName, Grant.value().Id});
   const Expected<keyvalue::Revision> Written =
       co_await S.Store.commit(std::move(Claim));
-  if (!Written) {
+  if (!Written || S.Stopping) {
     co_await endLease(Grant.value().Id);
     co_return;
   }
@@ -97,8 +97,8 @@
                std::chrono::milliseconds(Grant.value().TtlMs));
   RenewedAt = SentAt;
   FencingToken = Written.value();
-  S.Promoter.Key = Key;
-  S.Promoter.Changed = Written.value();
+  S.Promoter = {Key, S.Settings.InstanceName, Written.value(), Written.value(),
+                Duty.id()};
   S.Log.write(event::DutyTaken, FencingToken);
 }
 
@@ -111,7 +111,10 @@
 
 Task<void> Coordinator::renew() {
   RenewedAt = bootTime();
-  const Expected<void> Renewed = co_await S.Store.renew(Duty.id());
+  const keyvalue::LeaseId Id = Duty.id();
+  const Expected<void> Renewed = co_await S.Store.renew(Id);
+  if (Duty.id() != Id)
+    co_return;
   if (Renewed) {
     Duty.renewed(RenewedAt);
   } else if (Renewed.error().Kind == FailureKind::NotFound) {
