Follow members' entries through old reads in a class of its own; forget gone ones

Cause: read in review. What an old read may change was decided between the calls of the store view, without a test, and the revision of each member that ever existed was kept for good.

Change: cluster/EntryTracker says which entries of a read are new and which are absent, whatever the age of the read, and forgets an entry that stays absent for a minute.

Tests: EntryTrackerTest, 8 cases (entriesThatStayAbsentAreForgotten is the leak).

--- /dev/null
+++ b/src/cluster/EntryTrackerTest.cpp
@@ -0,0 +1,101 @@
+#include "cluster/EntryTracker.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace borageridge::cluster {
+namespace {
+
+using keyvalue::Item;
+using keyvalue::RangePage;
+using keyvalue::Revision;
+using std::chrono::seconds;
+
+constexpr Time Now{seconds(100)};
+
+RangePage read(std::vector<Item> Items, Revision At) {
+  return {std::move(Items), false, At};
+}
+
+Item item(std::string Key, Revision Changed) {
+  Item Result;
+  Result.Key = std::move(Key);
+  Result.Changed = Changed;
+  return Result;
+}
+
+class EntryTrackerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(EntryTrackerTest);
+  CPPUNIT_TEST(aNewEntryIsTold);
+  CPPUNIT_TEST(anUnchangedEntryIsToldOnce);
+  CPPUNIT_TEST(anOldReadDoesNotTakeAnEntryBack);
+  CPPUNIT_TEST(anOldReadDoesNotRemoveANewerEntry);
+  CPPUNIT_TEST(anAbsentEntryIsToldByEachRead);
+  CPPUNIT_TEST(anEntryThatIsBackIsTold);
+  CPPUNIT_TEST(anEntryThatIsBackUnchangedIsTold);
+  CPPUNIT_TEST(entriesThatStayAbsentAreForgotten);
+  CPPUNIT_TEST_SUITE_END();
+
+  EntryTracker Subject;
+
+  void aNewEntryIsTold() {
+    const auto Seen = Subject.update(read({item("a", 5)}, 5), Now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Seen.Written.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), Seen.Written[0].Key);
+    CPPUNIT_ASSERT(Seen.Absent.empty());
+  }
+
+  void anUnchangedEntryIsToldOnce() {
+    Subject.update(read({item("a", 5)}, 5), Now);
+    CPPUNIT_ASSERT(
+        Subject.update(read({item("a", 5)}, 9), Now).Written.empty());
+  }
+
+  void anOldReadDoesNotTakeAnEntryBack() {
+    Subject.update(read({item("a", 5)}, 5), Now);
+    CPPUNIT_ASSERT(
+        Subject.update(read({item("a", 3)}, 4), Now).Written.empty());
+  }
+
+  void anOldReadDoesNotRemoveANewerEntry() {
+    Subject.update(read({item("a", 5)}, 5), Now);
+    CPPUNIT_ASSERT(Subject.update(read({}, 4), Now).Absent.empty());
+  }
+
+  void anAbsentEntryIsToldByEachRead() {
+    Subject.update(read({item("a", 5)}, 5), Now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                         Subject.update(read({}, 6), Now).Absent.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                         Subject.update(read({}, 7), Now).Absent.size());
+  }
+
+  void anEntryThatIsBackIsTold() {
+    Subject.update(read({item("a", 5)}, 5), Now);
+    Subject.update(read({}, 6), Now);
+    const auto Seen = Subject.update(read({item("a", 7)}, 7), Now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Seen.Written.size());
+    CPPUNIT_ASSERT(Subject.update(read({item("a", 7)}, 8), Now).Absent.empty());
+  }
+
+  // The read that lacked it may have been older than it claimed.
+  void anEntryThatIsBackUnchangedIsTold() {
+    Subject.update(read({item("a", 5)}, 5), Now);
+    Subject.update(read({}, 6), Now);
+    CPPUNIT_ASSERT_EQUAL(
+        std::size_t(1),
+        Subject.update(read({item("a", 5)}, 7), Now).Written.size());
+  }
+
+  void entriesThatStayAbsentAreForgotten() {
+    Subject.update(read({item("a", 5)}, 5), Now);
+    Subject.update(read({}, 6), Now + seconds(30));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Subject.size());
+    Subject.update(read({}, 7), Now + seconds(61));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Subject.size());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EntryTrackerTest);
+
+} // namespace
+} // namespace borageridge::cluster
--- a/src/entry/StoreView.cpp
+++ b/src/entry/StoreView.cpp
@@ -192,27 +192,15 @@
       [](const auto &Entry) { return Entry.second->isHolding(); });
 }
 
-// An old state neither takes an entry back nor removes one that is newer.
 void StoreView::applyMembers(const keyvalue::RangePage &Page, Time Now) {
-  std::set<std::string_view> Present;
-  for (const Item &Read : Page.Items) {
-    Present.insert(Read.Key);
-    keyvalue::Revision &Known = MemberRevisions[Read.Key];
-    if (Read.Changed <= Known && !S.Vanished.contains(std::string(
-                                     suffix(Read.Key, platform::MemberPrefix))))
-      continue;
-    if (Read.Changed < Known)
-      continue;
-    Known = Read.Changed;
-    applyMember({Read, false}, Now);
-  }
-  for (const auto &[Key, Known] : MemberRevisions) {
-    if (Present.contains(Key) || Known > Page.StoreRevision)
-      continue;
-    Change Removal;
-    Removal.Removed = true;
-    Removal.Written.Key = Key;
-    applyMember(Removal, Now);
+  const cluster::EntryTracker::Difference Seen =
+      MemberEntries.update(Page, Now);
+  for (const Item &Written : Seen.Written)
+    applyMember(Written);
+  for (const std::string &Key : Seen.Absent) {
+    const std::string Id(suffix(Key, platform::MemberPrefix));
+    if (S.Members.contains(Id))
+      S.Vanished.emplace(Id, Now);
   }
   publishMembers(Now);
 }
@@ -315,17 +303,11 @@
   S.Runner.setCatalog(std::move(Config).value());
 }
 
-void StoreView::applyMember(const Change &Seen, Time Now) {
-  const std::string Id(suffix(Seen.Written.Key, platform::MemberPrefix));
-  if (Seen.Removed) {
-    if (S.Members.contains(Id))
-      S.Vanished.emplace(Id, Now);
-    return;
-  }
-  Expected<catalog::Member> Member =
-      platform::decodeMember(Id, Seen.Written.Value);
+void StoreView::applyMember(const Item &Written) {
+  const std::string Id(suffix(Written.Key, platform::MemberPrefix));
+  Expected<catalog::Member> Member = platform::decodeMember(Id, Written.Value);
   if (!Member) {
-    S.Log.write(event::EntryIgnored, Seen.Written.Key, Member.error().Detail);
+    S.Log.write(event::EntryIgnored, Written.Key, Member.error().Detail);
     return;
   }
   S.Vanished.erase(Id);
--- a/src/entry/StoreView.h
+++ b/src/entry/StoreView.h
@@ -1,6 +1,7 @@
 #ifndef BORAGERIDGE_ENTRY_STOREVIEW_H
 #define BORAGERIDGE_ENTRY_STOREVIEW_H
 
+#include "cluster/EntryTracker.h"
 #include "entry/State.h"
 #include "keyvalue/KeyValue.h"
 
@@ -33,7 +34,7 @@
   void apply(const keyvalue::Change &Seen);
   void applyMembers(const keyvalue::RangePage &Page, Time Now);
   void applyConfig(const keyvalue::Item &Written);
-  void applyMember(const keyvalue::Change &Seen, Time Now);
+  void applyMember(const keyvalue::Item &Written);
   void applyDaemon(const keyvalue::Change &Seen);
   void publishMembers(Time Now);
   void noteResult(std::string_view Call, const Failure *Failed, Time Now);
@@ -43,8 +44,7 @@
   bool FleetLoaded = false;
   bool MembersLoaded = false;
   keyvalue::Revision ConfigRevision = 0;
-  /// Of the newest entries that were seen, by key.
-  std::map<std::string, keyvalue::Revision> MemberRevisions;
+  cluster::EntryTracker MemberEntries;
   bool MembersChanged = false;
   std::optional<Time> LostSince;
 };
