Name the primary when a refused read could only have used it

Change: a statement that is refused while the primary is out of use is refused with "no primary in time", reads too.

Tests: ExecutorTest aReadThatOnlyThePrimaryCouldAnswerSaysThatItIsOutOfUse (failed before), aReadThatWaitsBehindOthersSaysThatNoConnectionWasFree.

--- a/src/entry/ExecutorTest.cpp
+++ b/src/entry/ExecutorTest.cpp
@@ -5,6 +5,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <array>
+
 #include <sstream>
 
 namespace borageridge::entry {
@@ -43,6 +45,8 @@
   CPPUNIT_TEST(aTransactionThatLosesItsConnectionIsAborted);
   CPPUNIT_TEST(aCommitWhoseAnswerIsLostIsInDoubt);
   CPPUNIT_TEST(withoutALeaseNothingReachesThePrimary);
+  CPPUNIT_TEST(aReadThatOnlyThePrimaryCouldAnswerSaysThatItIsOutOfUse);
+  CPPUNIT_TEST(aReadThatWaitsBehindOthersSaysThatNoConnectionWasFree);
   CPPUNIT_TEST(aWriteAnsweredAfterTheUseEndedIsInDoubt);
   CPPUNIT_TEST(variablesOfAnotherSessionAreClearedFirst);
   CPPUNIT_TEST(anAbandonedTransactionIsRolledBack);
@@ -207,6 +211,32 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Primary.count("COMMIT"));
   }
 
+  void aReadThatOnlyThePrimaryCouldAnswerSaysThatItIsOutOfUse() {
+    Lease.drop();
+    S.Database = "stock";
+    const Reply R = run(S, Read);
+    assertError(ErrorCode::Busy, R);
+    CPPUNIT_ASSERT_EQUAL(std::string("no primary in time"), R.Detail);
+  }
+
+  void aReadThatWaitsBehindOthersSaysThatNoConnectionWasFree() {
+    useReplica();
+    pool().setOthersInFlight({{"p", 100}, {"r", 100}});
+    pool().setHolding(true, 100);
+    Primary.Answer =
+        Replica.Answer = [](const std::string &) { return std::string_view(); };
+    std::array<Session, 2> Others = {S, S};
+    for (Session &Other : Others)
+      runtime::spawn(Io, runAndForget(Other));
+    const Reply R = run(S, Read);
+    assertError(ErrorCode::Busy, R);
+    CPPUNIT_ASSERT_EQUAL(std::string("no connection in time"), R.Detail);
+  }
+
+  Task<void> runAndForget(Session &Of) {
+    co_await Subject->execute(Of, Read, runtime::bootTime());
+  }
+
   void withoutALeaseNothingReachesThePrimary() {
     Lease.drop();
     assertError(ErrorCode::Busy, run(S, Write));
--- a/src/pool/ServicePool.cpp
+++ b/src/pool/ServicePool.cpp
@@ -342,8 +342,8 @@
   const Time Later = bootTime();
   if (Later < GiveUp)
     co_return Refusal::QueueFull;
-  co_return Self.D.NeedsPrimary && !mayUsePrimary(Later) ? Refusal::NoPrimary
-                                                         : Refusal::WaitTooLong;
+  // A read could have used the primary as well.
+  co_return mayUsePrimary(Later) ? Refusal::WaitTooLong : Refusal::NoPrimary;
 }
 
 bool ServicePool::hasUsableMember(const Demand &D, Time Now) const {
