--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -126,8 +126,9 @@
     if (Other.Lost) {
       S.LostPeers.push_back(Name);
       S.Log.write(event::PeerLost, Name, Answer.error().Detail);
-    } else
+    } else {
       S.Log.write(event::PeerSeen, Name);
+    }
   }
   if (Answer)
     learn(Other, Answer.value(), AskedAt, bootTime());
--- a/src/entry/State.h
+++ b/src/entry/State.h
@@ -83,7 +83,6 @@
   /// Before, other daemons may run that have not registered anew.
   Time FleetKnownFrom;
   bool Stopping = false;
-  std::size_t Sessions = 0;
 };
 
 /// Applies a record to the pool of its service, and keeps the newest.
--- a/src/pool/ServicePool.cpp
+++ b/src/pool/ServicePool.cpp
@@ -15,8 +15,6 @@
 using statement::ErrorCode;
 using statement::Reply;
 
-// Covers a connect, the endpoint's work for a new connection and a queue there.
-constexpr Duration OpenLimit = std::chrono::milliseconds(700);
 constexpr Duration RelinquishStep = std::chrono::milliseconds(5);
 // Waiting statements: a second of work at a usual rate.
 constexpr std::size_t MaxWaiting = 512;
@@ -162,18 +160,6 @@
   return !M.Info.Leaving;
 }
 
-std::uint32_t ServicePool::connectionLimit() const {
-  return Holding ? connectionShare(Spec.MaxConnections, SharingDaemons) : 0;
-}
-
-// A daemon that does not hold connections for others needs one for sessions
-// that began here and have not left yet; it is closed as soon as it is idle.
-bool ServicePool::mayOpen(const MemberState &M, Time Now) const {
-  const std::uint32_t Connections = M.connections();
-  return Holding ? M.Budget.mayOpen(Connections, connectionLimit(), Now)
-                 : Connections == 0 && M.Budget.mayOpen(Connections, 1, Now);
-}
-
 MemberLoad ServicePool::loadOf(MemberState &M, const Demand &D,
                                Time Now) const {
   std::erase_if(M.Idle, [](const Connection &C) { return !C->isOpen(); });
@@ -230,76 +216,6 @@
                   SlotFree};
 }
 
-Connection ServicePool::takeIdle(MemberState &M) {
-  while (!M.Idle.empty()) {
-    Connection Link = std::move(M.Idle.back());
-    M.Idle.pop_back();
-    if (Link->isQuiet())
-      return Link;
-    Link->close();
-  }
-  return nullptr;
-}
-
-void ServicePool::openConnection(const std::string &Member) {
-  MemberState *M = find(Member);
-  ++M->Opening;
-  runtime::spawn(Shared.Io, open(Member));
-}
-
-Task<void> ServicePool::open(std::string Member) {
-  Connection Link = co_await connect(Member, OpenLimit);
-  const Time Now = bootTime();
-  MemberState *M = find(Member);
-  if (M == nullptr)
-    co_return;
-  --M->Opening;
-  if (Link && M->Registered) {
-    Link->markIdle(Now);
-    M->Idle.push_back(std::move(Link));
-  }
-  wake(Now);
-}
-
-Task<Connection> ServicePool::connect(std::string Member, Duration Limit) {
-  MemberState *M = find(Member);
-  runtime::tcp::endpoint To;
-  if (M == nullptr || runtime::parseEndpoint(M->Info.Address, To))
-    co_return nullptr;
-  const Time Start = bootTime();
-  const auto Link = std::make_shared<EndpointConnection>(Shared.Io, Member);
-  Expected<Reply> Answer = co_await Link->open(
-      To, platform::encodeStart(Service, Shared.InstanceName, Member), Limit);
-  const Time Now = bootTime();
-  M = find(Member);
-  if (M == nullptr)
-    co_return nullptr;
-  if (!Answer) {
-    M->Budget.failed(Now);
-    if (Answer.error().Kind == FailureKind::PermissionDenied)
-      M->Health.refused(Now);
-    else
-      M->Health.unanswered(Start);
-    co_return nullptr;
-  }
-  if (Answer.value().Error == ErrorCode::Misrouted) {
-    // Another member has the address now; this one is gone.
-    M->Budget.failed(Now);
-    M->Health.refused(Now);
-    co_return nullptr;
-  }
-  M->Health.answered(Now);
-  if (Answer.value().Error) {
-    M->Budget.refused(Now);
-    Shared.Log.write(entry::event::ConnectionRefused, Service, Member,
-                     statement::name(*Answer.value().Error));
-    co_return nullptr;
-  }
-  ++Opened;
-  M->Budget.succeeded();
-  co_return Link;
-}
-
 Task<Expected<Checkout, Refusal>>
 ServicePool::acquire(Demand D, std::string_view Database,
                      std::uint32_t Priority, Time GiveUp, Time Deadline) {
@@ -396,27 +312,6 @@
     Known->second.add(Took);
 }
 
-void ServicePool::release(const Checkout &Used) {
-  const Time Now = bootTime();
-  MemberState *M = find(Used.Link->member());
-  if (M == nullptr || M->Busy.erase(Used.Link) == 0) {
-    Used.Link->close();
-    return;
-  }
-  M->Resting.erase(Used.Link);
-  const bool Surplus = M->Budget.isSurplus(
-      M->connections() + 1, connectionLimit(), Duration::zero(), Now);
-  const bool Keep = M->Registered && Used.Link->isOpen() && !Surplus &&
-                    !(M->Info.Leaving && !isPrimary(*M));
-  if (Keep) {
-    Used.Link->markIdle(Now);
-    M->Idle.push_back(Used.Link);
-  } else {
-    Used.Link->close();
-  }
-  wake(Now);
-}
-
 Task<Expected<Reply, Loss>>
 ServicePool::call(const Checkout &Over, std::string Bytes, Duration Limit) {
   const Time SentAt = bootTime();
@@ -462,14 +357,6 @@
     closePrimaryConnections();
 }
 
-void ServicePool::closePrimaryConnections() {
-  MemberState *M = find(Record.Primary);
-  if (M == nullptr)
-    return;
-  for (const Connection &Link : M->Busy)
-    Link->close();
-}
-
 bool ServicePool::isSuspected(std::string_view Member, Time Now) const {
   const MemberState *M = find(Member);
   return M == nullptr || M->Health.isSuspected(Now);
@@ -489,20 +376,6 @@
   return Result;
 }
 
-std::vector<std::string> ServicePool::starvedMembers(Time Now) const {
-  std::vector<std::string> Result;
-  for (const auto &[Id, M] : Members)
-    if (Holding && M.Registered &&
-        M.Budget.isStarved(M.connections(), connectionLimit(), Now))
-      Result.push_back(Id);
-  return Result;
-}
-
-void ServicePool::yieldConnections(std::string_view Member, Time Now) {
-  if (MemberState *M = find(Member))
-    M->Budget.yield(Now);
-}
-
 void ServicePool::setOthersInFlight(std::map<std::string, std::uint32_t> Sum) {
   for (auto &[Id, M] : Members)
     M.OthersInFlight = Sum.contains(Id) ? Sum[Id] : 0;
@@ -519,11 +392,4 @@
     Positions.add(AsOf, At);
 }
 
-std::size_t ServicePool::openConnections() const {
-  std::size_t Sum = 0;
-  for (const auto &[Id, M] : Members)
-    Sum += M.Idle.size() + M.Busy.size();
-  return Sum;
-}
-
 } // namespace borageridge::pool
--- a/src/pool/ServicePool.h
+++ b/src/pool/ServicePool.h
@@ -70,7 +70,6 @@
     SharingDaemons = Sharers;
   }
   bool isHolding() const { return Holding; }
-  std::size_t sharingDaemons() const { return SharingDaemons; }
   void setSpec(const catalog::ServiceSpec &NewSpec) { Spec = NewSpec; }
   void setMembers(std::vector<catalog::Member> Known, Time Now);
   /// Ignores records that are older than the present one.
--- /dev/null
+++ b/src/pool/ServicePoolConnections.cpp
@@ -0,0 +1,184 @@
+#include "pool/ServicePool.h"
+
+#include "entry/Events.h"
+#include "platform/Wire.h"
+#include "runtime/Clock.h"
+
+#include <utility>
+
+namespace borageridge::pool {
+namespace {
+
+using runtime::bootTime;
+using runtime::Task;
+using statement::ErrorCode;
+using statement::Reply;
+
+// Covers a connect, the endpoint's work for a new connection and a queue there.
+constexpr Duration OpenLimit = std::chrono::milliseconds(700);
+
+} // namespace
+
+std::uint32_t ServicePool::connectionLimit() const {
+  return Holding ? connectionShare(Spec.MaxConnections, SharingDaemons) : 0;
+}
+
+// A daemon that does not hold connections for others needs one for sessions
+// that began here and have not left yet; it is closed as soon as it is idle.
+bool ServicePool::mayOpen(const MemberState &M, Time Now) const {
+  const std::uint32_t Connections = M.connections();
+  return Holding ? M.Budget.mayOpen(Connections, connectionLimit(), Now)
+                 : Connections == 0 && M.Budget.mayOpen(Connections, 1, Now);
+}
+
+Connection ServicePool::takeIdle(MemberState &M) {
+  while (!M.Idle.empty()) {
+    Connection Link = std::move(M.Idle.back());
+    M.Idle.pop_back();
+    if (Link->isQuiet())
+      return Link;
+    Link->close();
+  }
+  return nullptr;
+}
+
+void ServicePool::openConnection(const std::string &Member) {
+  MemberState *M = find(Member);
+  ++M->Opening;
+  runtime::spawn(Shared.Io, open(Member));
+}
+
+Task<void> ServicePool::open(std::string Member) {
+  Connection Link = co_await connect(Member, OpenLimit);
+  const Time Now = bootTime();
+  MemberState *M = find(Member);
+  if (M == nullptr)
+    co_return;
+  --M->Opening;
+  if (Link && M->Registered) {
+    Link->markIdle(Now);
+    M->Idle.push_back(std::move(Link));
+  }
+  wake(Now);
+}
+
+Task<Connection> ServicePool::connect(std::string Member, Duration Limit) {
+  MemberState *M = find(Member);
+  runtime::tcp::endpoint To;
+  if (M == nullptr || runtime::parseEndpoint(M->Info.Address, To))
+    co_return nullptr;
+  const Time Start = bootTime();
+  const auto Link = std::make_shared<EndpointConnection>(Shared.Io, Member);
+  Expected<Reply> Answer = co_await Link->open(
+      To, platform::encodeStart(Service, Shared.InstanceName, Member), Limit);
+  const Time Now = bootTime();
+  M = find(Member);
+  if (M == nullptr)
+    co_return nullptr;
+  if (!Answer) {
+    M->Budget.failed(Now);
+    if (Answer.error().Kind == FailureKind::PermissionDenied)
+      M->Health.refused(Now);
+    else
+      M->Health.unanswered(Start);
+    co_return nullptr;
+  }
+  if (Answer.value().Error == ErrorCode::Misrouted) {
+    // Another member has the address now; this one is gone.
+    M->Budget.failed(Now);
+    M->Health.refused(Now);
+    co_return nullptr;
+  }
+  M->Health.answered(Now);
+  if (Answer.value().Error) {
+    M->Budget.refused(Now);
+    Shared.Log.write(entry::event::ConnectionRefused, Service, Member,
+                     statement::name(*Answer.value().Error));
+    co_return nullptr;
+  }
+  ++Opened;
+  M->Budget.succeeded();
+  co_return Link;
+}
+
+void ServicePool::release(const Checkout &Used) {
+  const Time Now = bootTime();
+  MemberState *M = find(Used.Link->member());
+  if (M == nullptr || M->Busy.erase(Used.Link) == 0) {
+    Used.Link->close();
+    return;
+  }
+  M->Resting.erase(Used.Link);
+  const bool Surplus = M->Budget.isSurplus(
+      M->connections() + 1, connectionLimit(), Duration::zero(), Now);
+  const bool Keep = M->Registered && Used.Link->isOpen() && !Surplus &&
+                    !(M->Info.Leaving && !isPrimary(*M));
+  if (Keep) {
+    Used.Link->markIdle(Now);
+    M->Idle.push_back(Used.Link);
+  } else {
+    Used.Link->close();
+  }
+  wake(Now);
+}
+
+void ServicePool::closePrimaryConnections() {
+  MemberState *M = find(Record.Primary);
+  if (M == nullptr)
+    return;
+  for (const Connection &Link : M->Busy)
+    Link->close();
+}
+
+std::vector<std::string> ServicePool::starvedMembers(Time Now) const {
+  std::vector<std::string> Result;
+  for (const auto &[Id, M] : Members)
+    if (Holding && M.Registered &&
+        M.Budget.isStarved(M.connections(), connectionLimit(), Now))
+      Result.push_back(Id);
+  return Result;
+}
+
+void ServicePool::yieldConnections(std::string_view Member, Time Now) {
+  if (MemberState *M = find(Member))
+    M->Budget.yield(Now);
+}
+
+std::size_t ServicePool::openConnections() const {
+  std::size_t Sum = 0;
+  for (const auto &[Id, M] : Members)
+    Sum += M.Idle.size() + M.Busy.size();
+  return Sum;
+}
+
+Task<Connection> ServicePool::takeOrConnect(std::string Member,
+                                            Duration Limit) {
+  MemberState *M = find(Member);
+  if (M == nullptr)
+    co_return nullptr;
+  if (Connection Link = takeIdle(*M))
+    co_return Link;
+  co_return co_await connect(Member, Limit);
+}
+
+void ServicePool::putBack(const Connection &Link, Time Now) {
+  MemberState *M = find(Link->member());
+  if (M == nullptr || !M->Registered || !Link->isOpen()) {
+    Link->close();
+    return;
+  }
+  Link->markIdle(Now);
+  M->Idle.push_back(Link);
+  wake(Now);
+}
+
+void ServicePool::closeSurplus(MemberState &M, Time Now) {
+  while (!M.Idle.empty() &&
+         M.Budget.isSurplus(M.connections() - M.Opening, connectionLimit(),
+                            Now - M.Idle.front()->idleSince(), Now)) {
+    M.Idle.front()->close();
+    M.Idle.erase(M.Idle.begin());
+  }
+}
+
+} // namespace borageridge::pool
--- a/src/pool/ServicePoolUpkeep.cpp
+++ b/src/pool/ServicePoolUpkeep.cpp
@@ -20,27 +20,6 @@
 
 } // namespace
 
-Task<Connection> ServicePool::takeOrConnect(std::string Member,
-                                            Duration Limit) {
-  MemberState *M = find(Member);
-  if (M == nullptr)
-    co_return nullptr;
-  if (Connection Link = takeIdle(*M))
-    co_return Link;
-  co_return co_await connect(Member, Limit);
-}
-
-void ServicePool::putBack(const Connection &Link, Time Now) {
-  MemberState *M = find(Link->member());
-  if (M == nullptr || !M->Registered || !Link->isOpen()) {
-    Link->close();
-    return;
-  }
-  Link->markIdle(Now);
-  M->Idle.push_back(Link);
-  wake(Now);
-}
-
 Task<Expected<Reply, Loss>>
 ServicePool::callMember(std::string Member, std::string Bytes, Duration Limit) {
   Checkout Own;
@@ -81,15 +60,6 @@
     M->Health.unanswered(Start);
 }
 
-void ServicePool::closeSurplus(MemberState &M, Time Now) {
-  while (!M.Idle.empty() &&
-         M.Budget.isSurplus(M.connections() - M.Opening, connectionLimit(),
-                            Now - M.Idle.front()->idleSince(), Now)) {
-    M.Idle.front()->close();
-    M.Idle.erase(M.Idle.begin());
-  }
-}
-
 void ServicePool::reportHealth(MemberState &M, Time Now) {
   const bool Suspected = M.Health.isSuspected(Now);
   if (Suspected == M.ReportedSuspected)
