Read the clocks in the runtime library

Cause: deadlines of calls, the incarnation of a daemon and two time stamps read the clocks of the standard library in eight places; three of them built the same deadline in different ways.

Change: runtime/Clock has steadyTime, wallTime and callDeadline; the entry daemon gets its incarnation as an argument. What the old daemon's event loops read to pass on as "now" is left as it is.

--- a/programs/borageridge-entry/Main.cpp
+++ b/programs/borageridge-entry/Main.cpp
@@ -2,6 +2,7 @@
 #include "entry/Events.h"
 #include "platform/Boot.h"
 #include "runtime/Async.h"
+#include "runtime/Clock.h"
 #include "telemetry/Log.h"
 
 #include <CLI/CLI.hpp>
@@ -56,7 +57,10 @@
                                   borageridge::settings::LogLevel::Info,
                                   std::cout);
   runtime::asio::io_context Io(1);
-  entry::Daemon Daemon(Io, Settings.value(), Store, Promotion, Log);
+  const auto Incarnation = static_cast<std::uint64_t>(
+      runtime::wallTime().time_since_epoch().count());
+  entry::Daemon Daemon(Io, Settings.value(), Store, Promotion, Incarnation,
+                       Log);
   if (const Expected<void> Started = Daemon.start(Given.MetricsPort);
       !Started) {
     Log.write(entry::event::StartFailed, "listen", Started.error().Detail);
--- a/src/endpoint/GrpcUnary.h
+++ b/src/endpoint/GrpcUnary.h
@@ -11,6 +11,7 @@
 #include "absl/base/thread_annotations.h"
 #include "absl/container/flat_hash_set.h"
 #include "absl/synchronization/mutex.h"
+#include "runtime/Clock.h"
 
 #include <grpcpp/grpcpp.h>
 
@@ -67,9 +68,7 @@
   Call->Channel = std::move(Channel);
   Call->Outgoing = Message;
   Call->OnReply = std::move(OnReply);
-  Call->Context.set_deadline(
-      std::chrono::system_clock::now() +
-      std::chrono::duration_cast<std::chrono::system_clock::duration>(Timeout));
+  Call->Context.set_deadline(runtime::callDeadline(Timeout));
   if (!Calls->add(Call))
     return;
   Invoke(Call->Stub->async(), &Call->Context, &Call->Outgoing, &Call->Incoming,
--- a/src/entry/Daemon.cpp
+++ b/src/entry/Daemon.cpp
@@ -40,12 +40,12 @@
 
 Daemon::Daemon(runtime::asio::io_context &Context,
                boot::DaemonSettings Settings, tcp::endpoint Store,
-               tcp::endpoint Promotion, telemetry::Log &Output)
+               tcp::endpoint Promotion, std::uint64_t Incarnation,
+               telemetry::Log &Output)
     : Io(Context), Log(Output), S(Context, std::move(Settings), Store, Output),
       View(S), Lease(S, View), Others(S), Changes(S, Others, Promotion),
       Sessions(S) {
-  S.Incarnation = static_cast<std::uint64_t>(
-      std::chrono::system_clock::now().time_since_epoch().count());
+  S.Incarnation = Incarnation;
   S.Shared.LeavingPrimaryLimit = S.Settings.LeaveLimit - LeavingReserve;
   S.Store.setRelay([this](http::Request Call, Duration Limit) {
     return Others.relay(std::move(Call), Limit);
--- a/src/entry/Daemon.h
+++ b/src/entry/Daemon.h
@@ -19,9 +19,10 @@
 /// The entry daemon: everything between the sockets of callers and members.
 class Daemon {
 public:
+  /// Incarnation: differs for each start of the daemon.
   Daemon(runtime::asio::io_context &Io, boot::DaemonSettings Settings,
          runtime::tcp::endpoint Store, runtime::tcp::endpoint Promotion,
-         telemetry::Log &Log);
+         std::uint64_t Incarnation, telemetry::Log &Log);
 
   /// Listens and starts all work on the loop. Fails if an address cannot be
   /// bound.
--- a/src/membership/GrpcInstanceList.cpp
+++ b/src/membership/GrpcInstanceList.cpp
@@ -3,6 +3,7 @@
 #include "endpoint/CallbackThreads.h"
 
 #include "instances.grpc.pb.h"
+#include "runtime/Clock.h"
 
 #include <grpcpp/create_channel.h>
 #include <grpcpp/support/channel_arguments.h>
@@ -111,7 +112,7 @@
   auto C = std::make_shared<Call>();
   C->Channel = Shared->channel();
   C->Service = instances::InstanceListService::NewStub(C->Channel);
-  C->Context.set_deadline(std::chrono::system_clock::now() + Timeout);
+  C->Context.set_deadline(runtime::callDeadline(Timeout));
   if (!Shared->enter(*C))
     return OnList(Failure{FailureKind::Unavailable, "the list is closed"});
   C->Service->async()->List(
--- a/src/membership/GrpcInstanceListTest.cpp
+++ b/src/membership/GrpcInstanceListTest.cpp
@@ -1,5 +1,6 @@
 #include "membership/GrpcInstanceList.h"
 
+#include "runtime/Clock.h"
 #include "standins/instances/InstanceServer.h"
 #include "standins/support/ServerOptions.h"
 
@@ -43,7 +44,7 @@
 
   void tearDown() override {
     List.reset();
-    Running.Server->Shutdown(std::chrono::system_clock::now());
+    Running.Server->Shutdown(runtime::wallTime());
   }
 
 private:
--- a/src/operator/AdminCalls.cpp
+++ b/src/operator/AdminCalls.cpp
@@ -1,4 +1,5 @@
 #include "operator/AdminCalls.h"
+#include "runtime/Clock.h"
 
 #include <grpcpp/create_channel.h>
 #include <grpcpp/support/channel_arguments.h>
@@ -32,7 +33,7 @@
 } // namespace
 
 void setTimeout(grpc::ClientContext &Context, Duration Timeout) {
-  Context.set_deadline(std::chrono::system_clock::now() + Timeout);
+  Context.set_deadline(runtime::callDeadline(Timeout));
 }
 
 Expected<std::shared_ptr<grpc::Channel>>
@@ -43,7 +44,7 @@
   Arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
   Arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
   auto Channel = grpc::CreateCustomChannel(Address, Credentials, Arguments);
-  const auto Deadline = std::chrono::system_clock::now() + Timeout;
+  const auto Deadline = runtime::callDeadline(Timeout);
   grpc_connectivity_state State = Channel->GetState(true);
   while (State != GRPC_CHANNEL_READY) {
     if (State == GRPC_CHANNEL_TRANSIENT_FAILURE ||
--- a/src/operator/CommandFixture.h
+++ b/src/operator/CommandFixture.h
@@ -6,6 +6,7 @@
 
 #include "admin.grpc.pb.h"
 #include "caller.grpc.pb.h"
+#include "runtime/Clock.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <unistd.h>
@@ -71,9 +72,7 @@
     CPPUNIT_ASSERT(Started.has_value());
     Running = std::move(Started).value();
   }
-  ~FakeProxy() override {
-    Running.Server->Shutdown(std::chrono::system_clock::now());
-  }
+  ~FakeProxy() override { Running.Server->Shutdown(runtime::wallTime()); }
   FakeProxy(const FakeProxy &) = delete;
   FakeProxy &operator=(const FakeProxy &) = delete;
 
--- a/src/operator/TableCommands.cpp
+++ b/src/operator/TableCommands.cpp
@@ -1,6 +1,7 @@
 #include "operator/TableCommands.h"
 
 #include "operator/Credentials.h"
+#include "runtime/Clock.h"
 #include "table/Table.h"
 
 #include <absl/time/clock.h>
@@ -171,7 +172,8 @@
   Next.set_text(Own.value().Text);
   Next.set_author(Apply.Author);
   Next.set_attempt(newAttempt());
-  Next.set_applied_unix_ms(absl::ToUnixMillis(absl::Now()));
+  Next.set_applied_unix_ms(
+      absl::ToUnixMillis(absl::FromChrono(runtime::wallTime())));
   const auto Done = Store.swap(planOf(Next, Current.value().Revision));
   if (Done.has_value()) {
     Out.columns(summary(Next));
--- a/src/proxy/AdminServer.cpp
+++ b/src/proxy/AdminServer.cpp
@@ -1,4 +1,5 @@
 #include "proxy/AdminServer.h"
+#include "runtime/Clock.h"
 
 #include <absl/time/clock.h>
 
@@ -39,7 +40,7 @@
   grpc::Status Allowed = check(*Context);
   if (!Allowed.ok())
     return Allowed;
-  *Reply = Control.status(std::chrono::steady_clock::now());
+  *Reply = Control.status(runtime::steadyTime());
   Reply->set_in_flight(static_cast<std::uint32_t>(InFlight()));
   return grpc::Status::OK;
 }
--- a/src/store/EtcdWatch.cpp
+++ b/src/store/EtcdWatch.cpp
@@ -1,4 +1,5 @@
 #include "store/EtcdWatch.h"
+#include "runtime/Clock.h"
 
 #include <algorithm>
 #include <vector>
@@ -22,7 +23,7 @@
 
   // False if the store is closing; then the stream is gone.
   static bool open(std::unique_ptr<Stream> S, Duration Life) {
-    S->Context.set_deadline(std::chrono::system_clock::now() + Life);
+    S->Context.set_deadline(runtime::callDeadline(Life));
     if (!S->Owner->Core->enter(S->Context))
       return false;
     S->Service = etcdserverpb::Watch::NewStub(S->Owner->Picked.Channel);
