Name the folder of a daemon's settings after what they are of

Cause: the guard of src/boot/DaemonSettings.h began with the name of the platform's environment variable, which belongs to platform/ only.

Change: the folder and namespace are instance. platform/Boot reads the platform's file as before.

--- a/programs/borageridge-entry/Main.cpp
+++ b/programs/borageridge-entry/Main.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 using borageridge::Expected;
-using borageridge::boot::DaemonSettings;
+using borageridge::instance::DaemonSettings;
 
 // Exit codes of sysexits.h.
 constexpr int BadUsage = 64;
--- a/src/entry/Daemon.cpp
+++ b/src/entry/Daemon.cpp
@@ -39,7 +39,7 @@
 } // namespace
 
 Daemon::Daemon(runtime::asio::io_context &Context,
-               boot::DaemonSettings Settings, tcp::endpoint Store,
+               instance::DaemonSettings Settings, tcp::endpoint Store,
                tcp::endpoint Promotion, std::uint64_t Incarnation,
                telemetry::Log &Output)
     : Io(Context), Log(Output), S(Context, std::move(Settings), Store, Output),
--- a/src/entry/Daemon.h
+++ b/src/entry/Daemon.h
@@ -1,7 +1,6 @@
 #ifndef BORAGERIDGE_ENTRY_DAEMON_H
 #define BORAGERIDGE_ENTRY_DAEMON_H
 
-#include "boot/DaemonSettings.h"
 #include "borageridge/Failure.h"
 #include "entry/CallerConnection.h"
 #include "entry/Coordinator.h"
@@ -9,6 +8,7 @@
 #include "entry/Registration.h"
 #include "entry/State.h"
 #include "entry/StoreView.h"
+#include "instance/DaemonSettings.h"
 
 #include <memory>
 #include <set>
@@ -20,7 +20,7 @@
 class Daemon {
 public:
   /// Incarnation: differs for each start of the daemon.
-  Daemon(runtime::asio::io_context &Io, boot::DaemonSettings Settings,
+  Daemon(runtime::asio::io_context &Io, instance::DaemonSettings Settings,
          runtime::tcp::endpoint Store, runtime::tcp::endpoint Promotion,
          std::uint64_t Incarnation, telemetry::Log &Log);
 
--- a/src/entry/State.h
+++ b/src/entry/State.h
@@ -1,13 +1,13 @@
 #ifndef BORAGERIDGE_ENTRY_STATE_H
 #define BORAGERIDGE_ENTRY_STATE_H
 
-#include "boot/DaemonSettings.h"
 #include "catalog/Catalog.h"
 #include "change/ChangePolicy.h"
 #include "cluster/Records.h"
 #include "cluster/UseLease.h"
 #include "entry/EntryMetrics.h"
 #include "entry/Executor.h"
+#include "instance/DaemonSettings.h"
 #include "keyvalue/StoreClient.h"
 #include "peer/PeerChannel.h"
 #include "pool/ServicePool.h"
@@ -42,7 +42,7 @@
 
 /// Everything that the parts of one daemon share. One thread.
 struct State {
-  State(runtime::asio::io_context &Context, boot::DaemonSettings Given,
+  State(runtime::asio::io_context &Context, instance::DaemonSettings Given,
         runtime::tcp::endpoint StoreAddress, telemetry::Log &Output)
       : Io(Context), Settings(std::move(Given)), Log(Output),
         Store(Context, StoreAddress), Shared{Context, Output, Lease,
@@ -51,7 +51,7 @@
         Runner(Context, ByService, Output, Metrics) {}
 
   runtime::asio::io_context &Io;
-  boot::DaemonSettings Settings;
+  instance::DaemonSettings Settings;
   telemetry::Log &Log;
   std::uint64_t Incarnation = 0;
   keyvalue::StoreClient Store;
--- a/src/entry/StateFixture.h
+++ b/src/entry/StateFixture.h
@@ -13,8 +13,8 @@
 /// The shared state of a daemon "entry-1" in availability zone "z1", for tests.
 class StateFixture {
 protected:
-  static boot::DaemonSettings settings() {
-    boot::DaemonSettings Result;
+  static instance::DaemonSettings settings() {
+    instance::DaemonSettings Result;
     Result.InstanceName = "entry-1";
     Result.AvailabilityZone = "z1";
     return Result;
--- a/src/boot/DaemonSettings.h
+++ b/src/instance/DaemonSettings.h
@@ -1,5 +1,5 @@
-#ifndef BORAGERIDGE_BOOT_DAEMONSETTINGS_H
-#define BORAGERIDGE_BOOT_DAEMONSETTINGS_H
+#ifndef BORAGERIDGE_INSTANCE_DAEMONSETTINGS_H
+#define BORAGERIDGE_INSTANCE_DAEMONSETTINGS_H
 
 #include "borageridge/Types.h"
 
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-namespace borageridge::boot {
+namespace borageridge::instance {
 
 /// What an entry daemon is told about itself and its surroundings.
 struct DaemonSettings {
@@ -35,6 +35,6 @@
   std::uint32_t MaxSockets = 1024;
 };
 
-} // namespace borageridge::boot
+} // namespace borageridge::instance
 
-#endif // BORAGERIDGE_BOOT_DAEMONSETTINGS_H
+#endif // BORAGERIDGE_INSTANCE_DAEMONSETTINGS_H
