Wait for the store's return in one place

Cause: the store view and the registration each had the same loop that waits until another call has reached the store.

Change: StoreClient::waitUntilReached.

Tests: StoreClientTest, 2 new cases.

--- a/src/entry/Registration.cpp
+++ b/src/entry/Registration.cpp
@@ -15,13 +15,11 @@
 constexpr Duration RenewInterval = std::chrono::milliseconds(1200);
 constexpr Duration FailurePause = std::chrono::milliseconds(200);
 constexpr Duration MaxFailurePause = std::chrono::milliseconds(1000);
-constexpr Duration ReturnStep = std::chrono::milliseconds(30);
 
 } // namespace
 
 Task<void> Registration::run() {
   while (!S.Stopping) {
-    const Time Start = bootTime();
     bool Done = true;
     if (S.Lease.id() == 0)
       Done = co_await registerAnew();
@@ -32,9 +30,8 @@
       continue;
     co_await runtime::sleepFor(Done ? RenewInterval : FailurePause);
     // Without a lease, the view's cheap reads find out when the store is back.
-    while (!Done && S.Lease.id() == 0 && !S.Store.isReached(bootTime()) &&
-           bootTime() - Start < MaxFailurePause)
-      co_await runtime::sleepFor(ReturnStep);
+    if (!Done && S.Lease.id() == 0 && !S.Store.isReached(bootTime()))
+      co_await S.Store.waitUntilReached(MaxFailurePause);
   }
 }
 
--- a/src/entry/StoreView.cpp
+++ b/src/entry/StoreView.cpp
@@ -41,9 +41,10 @@
 constexpr Duration Reentry = std::chrono::milliseconds(4000);
 // For daemons that hold no connections to members.
 constexpr Duration SpareMembersInterval = std::chrono::milliseconds(3000);
+// While the store is down, the cheap reads of members find out when it is back;
+// the other calls wait for them.
 constexpr Duration FailurePause = std::chrono::milliseconds(150);
 constexpr Duration MaxFailurePause = std::chrono::milliseconds(1000);
-constexpr Duration ReturnStep = std::chrono::milliseconds(30);
 // Entries that lapsed with the store are back two seconds after its return.
 constexpr Duration VanishedGrace = std::chrono::milliseconds(2300);
 
@@ -88,15 +89,6 @@
   co_await pollMembers();
 }
 
-// While the store is down, the cheap reads of members find out when it is back.
-Task<void> StoreView::waitForStore() {
-  const Time Start = bootTime();
-  do
-    co_await runtime::sleepFor(ReturnStep);
-  while (!S.Store.isReached(bootTime()) &&
-         bootTime() - Start < MaxFailurePause);
-}
-
 Duration StoreView::watchPause(std::string_view Prefix, Time Now) const {
   if (Now < S.FleetKnownFrom)
     return SettlingPause;
@@ -113,7 +105,7 @@
       Expected<keyvalue::Revision> Read = co_await load(Prefix);
       noteResult("range", Read ? nullptr : &Read.error(), bootTime());
       if (!Read) {
-        co_await waitForStore();
+        co_await S.Store.waitUntilReached(MaxFailurePause);
         continue;
       }
       At = Read.value();
@@ -129,7 +121,7 @@
     const Time Now = bootTime();
     noteResult("watch", Seen ? nullptr : &Seen.error(), Now);
     if (!Seen) {
-      co_await waitForStore();
+      co_await S.Store.waitUntilReached(MaxFailurePause);
       continue;
     }
     if (Seen.value().HistoryLost) {
--- a/src/entry/StoreView.h
+++ b/src/entry/StoreView.h
@@ -29,7 +29,6 @@
   runtime::Task<Expected<keyvalue::Revision>> load(std::string_view Prefix);
   Duration watchPause(std::string_view Prefix, Time Now) const;
   bool holdsConnections() const;
-  runtime::Task<void> waitForStore();
   void noteLoaded(Time Now);
   void apply(const keyvalue::Change &Seen);
   void applyMembers(const keyvalue::RangePage &Page, Time Now);
--- a/src/keyvalue/StoreClient.cpp
+++ b/src/keyvalue/StoreClient.cpp
@@ -17,7 +17,8 @@
 // After a failure the store is asked through other daemons for this long; then
 // one call finds out whether it serves this daemon again.
 constexpr Duration AvoidDirect = std::chrono::milliseconds(3000);
-// Longer than the longest wait of a watch.
+constexpr Duration ReturnStep = std::chrono::milliseconds(30);
+// Longer than the longest time between two calls other than watches.
 constexpr Duration ReachedLifetime = std::chrono::milliseconds(3000);
 
 bool isRefusal(const http::Response &Answer) {
@@ -35,6 +36,14 @@
          Now >= AvoidDirectUntil;
 }
 
+Task<void> StoreClient::waitUntilReached(Duration Limit) {
+  const Time Start = runtime::bootTime();
+  do
+    co_await runtime::sleepFor(ReturnStep);
+  while (!isReached(runtime::bootTime()) &&
+         runtime::bootTime() - Start < Limit);
+}
+
 Task<Expected<http::Response>> StoreClient::callDirectly(http::Request Call,
                                                          Duration Limit) {
   co_return co_await send(Direct, std::move(Call), Limit);
--- a/src/keyvalue/StoreClient.h
+++ b/src/keyvalue/StoreClient.h
@@ -44,6 +44,9 @@
   runtime::Task<Expected<http::Response>> callDirectly(http::Request Call,
                                                        Duration Limit);
 
+  /// Waits until another call has reached the store, for Limit at most.
+  runtime::Task<void> waitUntilReached(Duration Limit);
+
   /// Whether the store answered this daemon itself lately.
   bool isReached(Time Now) const;
   std::uint64_t calls() const { return Calls; }
--- a/src/keyvalue/StoreClientTest.cpp
+++ b/src/keyvalue/StoreClientTest.cpp
@@ -25,6 +25,8 @@
   CPPUNIT_TEST(afterAFailureCallsGoThroughAPeerFirst);
   CPPUNIT_TEST(withoutAPeerTheStoreIsAskedAgain);
   CPPUNIT_TEST(aSuccessMakesTheStoreCountAsReached);
+  CPPUNIT_TEST(aWaitEndsWhenAnotherCallReachesTheStore);
+  CPPUNIT_TEST(aWaitForTheStoreEndsInTime);
   CPPUNIT_TEST(aFailingCallEndsTheWatches);
   CPPUNIT_TEST(aReadThatMayBeOldSaysSo);
   CPPUNIT_TEST_SUITE_END();
@@ -107,6 +109,36 @@
     CPPUNIT_ASSERT(!Subject.isReached(runtime::bootTime()));
   }
 
+  Duration timeOfWait(Duration Limit) {
+    const Time Start = runtime::bootTime();
+    std::optional<Time> Ended;
+    const auto Wait = [&]() -> Task<void> {
+      co_await Subject.waitUntilReached(Limit);
+      Ended = runtime::bootTime();
+      Io.stop();
+    };
+    runtime::spawn(Io, Wait());
+    Io.restart();
+    Io.run_for(std::chrono::seconds(5));
+    CPPUNIT_ASSERT(Ended.has_value());
+    return *Ended - Start;
+  }
+
+  void aWaitEndsWhenAnotherCallReachesTheStore() {
+    const auto Read = [this]() -> Task<void> {
+      const Expected<RangePage> Page = co_await Subject.range("a");
+      CPPUNIT_ASSERT(Page.has_value());
+    };
+    runtime::spawn(Io, Read());
+    CPPUNIT_ASSERT(timeOfWait(std::chrono::seconds(2)) < milliseconds(500));
+  }
+
+  void aWaitForTheStoreEndsInTime() {
+    const Duration Waited = timeOfWait(milliseconds(100));
+    CPPUNIT_ASSERT(Waited >= milliseconds(100));
+    CPPUNIT_ASSERT(Waited < milliseconds(500));
+  }
+
   // The watch hangs on a listener that accepts and never answers.
   void aFailingCallEndsTheWatches() {
     Expected<runtime::tcp::acceptor> Silent = runtime::listen(
