Model a daemon that registers anew during a change of primary

The model of use leases began with registered daemons and could not show it.

Change: a daemon whose lease is over at both sides writes its entry anew, then reads the record, and only then uses the lease; LEASE_FIRST uses it before. The search may take 240 s instead of 60 s, so that it also completes on a busy machine; that is no bound of the product.

--- a/models/use_lease.pml
+++ b/models/use_lease.pml
@@ -11,6 +11,8 @@
  *   STEADY_CLOCK     a daemon's clock stands still while it is suspended
  *   COUNT_FROM_ANSWER  the lease is counted from the answer to its renewal
  *   AGREE_FIRST      a daemon agrees before it has ended its use
+ *   LEASE_FIRST      a daemon that registers anew uses its lease before it has
+ *                    read whether a change is under way
  */
 
 #define DAEMONS 2
@@ -31,6 +33,8 @@
 bool suspended[DAEMONS];
 bool relinquished[DAEMONS];
 bool agreed[DAEMONS];
+/* A daemon has written its entry anew and has not read the record yet. */
+bool registering[DAEMONS];
 bool changing;
 bool served;
 
@@ -48,7 +52,7 @@
   :: else
   fi;
   if
-  :: flight[i] != NONE && age[i] < TTL -> age[i]++
+  :: (flight[i] != NONE || registering[i]) && age[i] < TTL -> age[i]++
   :: else
   fi
 }
@@ -62,8 +66,8 @@
 
 proctype Daemon(byte i) {
   do
-  :: atomic { !suspended[i] && flight[i] == NONE && atStore[i] > 0 ->
-       flight[i] = SENT; age[i] = 0 }
+  :: atomic { !suspended[i] && flight[i] == NONE && !registering[i] &&
+       atStore[i] > 0 -> flight[i] = SENT; age[i] = 0 }
   /* The store has the renewal; too late if the lease has ended. */
   :: atomic { flight[i] == SENT && atStore[i] > 0 ->
        flight[i] = ARRIVED; atStore[i] = TTL }
@@ -89,6 +93,28 @@
   :: atomic { !suspended[i] && changing && !agreed[i] ->
        relinquished[i] = true; agreed[i] = true }
 #endif
+  /* A lease that is over at both sides is replaced. A change that began before
+     does not ask this daemon again, so it reads the record afterwards. */
+  :: atomic { !suspended[i] && atStore[i] == 0 && believed[i] == 0 &&
+       flight[i] == NONE && !registering[i] ->
+       registering[i] = true; atStore[i] = TTL; age[i] = 0;
+#ifdef LEASE_FIRST
+       believed[i] = TTL
+#endif
+     }
+  :: atomic { !suspended[i] && registering[i] ->
+       registering[i] = false;
+       if
+       :: changing -> relinquished[i] = true
+       :: else
+       fi;
+#ifndef LEASE_FIRST
+       if
+       :: age[i] < TTL -> believed[i] = TTL - age[i]
+       :: else
+       fi
+#endif
+     }
   /* Use of the old primary. */
   :: atomic { !suspended[i] && believed[i] > 0 && !relinquished[i] ->
        assert(!served) }
--- a/tools/model.sh
+++ b/tools/model.sh
@@ -18,7 +18,7 @@
   spin -a "${macros[@]}" "$models/$model.pml" > spin.log || { cat spin.log >&2; exit 1; }
   gcc -O2 -w -DSAFETY -DCOLLAPSE -DMEMLIM=4096 -o pan pan.c
   # -E: processes that wait for ever stand for crashed ones.
-  timeout 60 ./pan -E -m200000 > pan.log || true
+  timeout 240 ./pan -E -m200000 > pan.log || true
   errors=$(sed -n 's/.*errors: \([0-9]*\).*/\1/p' pan.log)
   states=$(sed -n 's/ *\([0-9.e+]*\) states, stored.*/\1/p' pan.log | head -1)
   result=holds
@@ -42,6 +42,7 @@
 check use_lease fails STEADY_CLOCK
 check use_lease fails COUNT_FROM_ANSWER
 check use_lease fails AGREE_FIRST
+check use_lease fails LEASE_FIRST
 check settle holds AT_MOST_ONCE
 check settle holds TRUE_REFUSAL
 check settle holds TRUE_OUTCOME
