Count a daemon that is also a seed once

Cause: a seed address entered the peers under a name of its own and stayed beside the peer of the daemon at that address, since it answers. Each daemon asked every seed twice, counted three daemons too many in its shares of connections and in the choice of holders, and counted the statements in flight of a seed twice. A query that started after its peer had been removed added an empty peer again. Change: a seed is marked, is queried only while no daemon of the fleet is known, and counts neither as a daemon nor for the load. A query looks its peer up.

--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -105,19 +105,29 @@
     if (Error)
       continue;
     Peer &Other = S.Peers["seed " + Ip];
+    Other.IsSeed = true;
     Other.Channel = std::make_shared<peer::PeerChannel>(
         S.Io, runtime::tcp::endpoint(Address, S.Settings.PeerPort));
   }
 }
 
+// A seed that is kept beside the peer of the daemon at its address would be
+// queried twice, and its daemon and statements counted twice.
+void Exchange::removeSeedPeersOnceFleetIsKnown() {
+  const auto IsSeed = [](const auto &Entry) { return Entry.second.IsSeed; };
+  if (!std::all_of(S.Peers.begin(), S.Peers.end(), IsSeed))
+    std::erase_if(S.Peers, IsSeed);
+}
+
 Duration Exchange::slowestInterval() const {
   return Interval * static_cast<int>(intervalFactor(S.Peers.size()));
 }
 
 Task<void> Exchange::queryPeer(std::string Name) {
-  const auto Channel = S.Peers[Name].Channel;
-  if (!Channel)
+  const auto Queried = S.Peers.find(Name);
+  if (Queried == S.Peers.end() || !Queried->second.Channel)
     co_return;
+  const auto Channel = Queried->second.Channel;
   const Time RequestedAt = bootTime();
   Message Request = {{"type", "exchange"}, {"from", S.Settings.InstanceName}};
   Expected<Message> Answer =
@@ -178,10 +188,15 @@
 }
 
 void Exchange::updatePeerLoad(Time Now) {
+  removeSeedPeersOnceFleetIsKnown();
   std::map<std::string, std::uint32_t> Sum;
   std::size_t Live = 1;
   for (auto It = S.Peers.begin(); It != S.Peers.end();) {
     const Peer &Other = It->second;
+    if (Other.IsSeed) {
+      ++It;
+      continue;
+    }
     const bool Registered = S.Daemons.contains(It->first);
     if (Registered || Now - Other.LastReport.Received < PeerLifetime)
       ++Live;
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -40,6 +40,7 @@
                    Time Now);
   void updatePeerLoad(Time Now);
   void addSeedPeers();
+  void removeSeedPeersOnceFleetIsKnown();
   peer::Message report(Time Now) const;
   runtime::Task<peer::Message> relayForPeer(peer::Message Request);
 
--- a/src/entry/ExchangeTest.cpp
+++ b/src/entry/ExchangeTest.cpp
@@ -21,6 +21,9 @@
   CPPUNIT_TEST(marksPeerThatDoesNotAnswerAsUnreachable);
   CPPUNIT_TEST(relinquishingEndsTheUseOfThePrimary);
   CPPUNIT_TEST(confirmsRelinquishingOfAnUnknownServiceAtOnce);
+  CPPUNIT_TEST(countsADaemonThatIsAlsoASeedOnce);
+  CPPUNIT_TEST(peerRemovedBeforeItsQueryIsNotAddedAgain);
+  CPPUNIT_TEST(seedThatIsNotYetKnownAsADaemonIsQueriedButNotCounted);
   CPPUNIT_TEST_SUITE_END();
 
   State S{Io, settings(), runtime::tcp::endpoint(), Log};
@@ -77,6 +80,49 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(9), S.NewestConfigSeen);
   }
 
+  /// Serves reports with two statements in flight at member "m" on the peer
+  /// port of a loopback address.
+  void serveReports(const std::string &Ip) {
+    S.Settings.PeerPort = freePort();
+    const auto Bound = peer::serve(
+        Io, {runtime::asio::ip::make_address_v4(Ip), S.Settings.PeerPort},
+        [](Message) -> runtime::Task<Message> {
+          Message Report = {{"in_flight", {{"m", 2}}}, {"config", 4}};
+          co_return Report;
+        });
+    CPPUNIT_ASSERT(Bound.has_value());
+  }
+
+  void countsADaemonThatIsAlsoASeedOnce() {
+    S.Settings.SeedIps = {"127.0.0.1"};
+    serveReports("127.0.0.1");
+    runtime::spawn(Io, Subject.run());
+    runLoopFor(milliseconds(350));
+    addPeer("entry-2", S.Settings.PeerPort);
+    runLoopFor(milliseconds(600));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), S.Shared.LiveDaemons);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), S.Peers.size());
+  }
+
+  // The query of a peer starts after its expiry has been checked.
+  void peerRemovedBeforeItsQueryIsNotAddedAgain() {
+    addPeer("entry-2", freePort());
+    S.Daemons.clear();
+    S.Daemons["entry-1"].Name = "entry-1";
+    runtime::spawn(Io, Subject.run());
+    runLoopFor(milliseconds(50));
+    CPPUNIT_ASSERT(S.Peers.empty());
+  }
+
+  void seedThatIsNotYetKnownAsADaemonIsQueriedButNotCounted() {
+    S.Settings.SeedIps = {"127.0.0.1"};
+    serveReports("127.0.0.1");
+    runtime::spawn(Io, Subject.run());
+    runLoopFor(milliseconds(600));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), S.NewestConfigSeen);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), S.Shared.LiveDaemons);
+  }
+
   void marksPeerThatDoesNotAnswerAsUnreachable() {
     const std::uint16_t Port = freePort();
     addPeer("entry-2", Port);
--- a/src/entry/State.h
+++ b/src/entry/State.h
@@ -39,6 +39,10 @@
   PeerReport LastReport;
   /// Whether the last request to it failed.
   bool Unreachable = false;
+  /// A seed address of the settings, queried only until a daemon of the fleet
+  /// is known. It does not count as a daemon, because the daemon at that
+  /// address also has a peer of its own once it is known.
+  bool IsSeed = false;
 };
 
 /// State shared by the components of one daemon. Used by one thread.
