--- a/programs/borageridge-entry/Main.cpp
+++ b/programs/borageridge-entry/Main.cpp
@@ -66,7 +66,9 @@
     Log.write(entry::event::StartFailed, "listen", Started.error().Detail);
     return CannotStart;
   }
-  Io.run();
+  runtime::runUntilStopped(Io, [&Log](std::string_view Error) {
+    Log.write(entry::event::TaskFailed, "event loop", Error);
+  });
   Log.flush();
   std::cout.flush();
   // Open sessions and their coroutines end with the process.
--- a/src/entry/CallerConnection.cpp
+++ b/src/entry/CallerConnection.cpp
@@ -28,8 +28,11 @@
 
 } // namespace
 
+// Bytes that have arrived but are not read yet may be a request.
 bool CallerConnection::isIdle() const {
-  return AwaitingInput && Buffer.empty() && !isInTransaction();
+  error_code Error;
+  return AwaitingInput && Buffer.empty() && !isInTransaction() &&
+         (Socket.available(Error) == 0 || Error);
 }
 
 // Called when the holder or its session is lost, and the session state with it.
--- a/src/entry/CallerConnectionTest.cpp
+++ b/src/entry/CallerConnectionTest.cpp
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(writeLostWithTheHolderIsInDoubt);
   CPPUNIT_TEST(closesIdleLocalSessionOnceOtherDaemonsAreHolders);
   CPPUNIT_TEST(keepsLocalSessionInATransaction);
+  CPPUNIT_TEST(keepsSessionWhoseRequestHasArrivedButIsNotRead);
   CPPUNIT_TEST(keepsLocalSessionWhileNoHolderIsReachable);
   CPPUNIT_TEST(sessionWaitsUntilTheFleetIsKnown);
   CPPUNIT_TEST(forwardedSessionDoesNotWaitForTheFleet);
@@ -151,6 +152,16 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), received());
   }
 
+  void keepsSessionWhoseRequestHasArrivedButIsNotRead() {
+    connectLocally();
+    runtime::asio::write(
+        Caller, runtime::asio::buffer(std::string("QUERY q1 SET a 1\r\n")));
+    CPPUNIT_ASSERT(!Subject->isIdle());
+    Subject->closeIfHeldElsewhere();
+    CPPUNIT_ASSERT_EQUAL(std::string("COMPLETE -\r\nREADY I -\r\n"),
+                         received());
+  }
+
   void keepsLocalSessionWhileNoHolderIsReachable() {
     connectLocally();
     S.Peers["entry-2"].Unreachable = true;
--- a/src/entry/Daemon.cpp
+++ b/src/entry/Daemon.cpp
@@ -4,7 +4,6 @@
 #include "http/HttpServer.h"
 #include "platform/Promotion.h"
 #include "runtime/Clock.h"
-#include "runtime/Listener.h"
 
 #include <csignal>
 #include <utility>
@@ -21,13 +20,10 @@
 
 constexpr Duration TickInterval = std::chrono::milliseconds(50);
 constexpr Duration RebalanceInterval = std::chrono::milliseconds(700);
-// The load balancer checks readiness once a second and stops sending
-// connections after two failed checks.
-constexpr Duration LoadBalancerDetectionTime = std::chrono::milliseconds(2300);
 constexpr Duration StopPollInterval = std::chrono::milliseconds(50);
-// Time left for the shutdown after draining, before the process is killed.
-constexpr Duration StopReserve = std::chrono::milliseconds(700);
 constexpr Duration LeaseReleaseTime = std::chrono::milliseconds(100);
+// Pause before a task that the daemon needs is started again after an error.
+constexpr Duration TaskRestartDelay = std::chrono::milliseconds(100);
 // Part of the leave limit that is kept for the change of primary of a leaving
 // member, which takes up to two seconds.
 constexpr Duration LeavingReserve = std::chrono::milliseconds(1500);
@@ -59,22 +55,51 @@
     return Bound;
   Log.write(event::Started, S.Settings.CallerAddress,
             S.Settings.AvailabilityZone, S.Incarnation);
-  runtime::spawn(Io, View.run());
-  runtime::spawn(Io, Registrar.run());
-  runtime::spawn(Io, PeerExchange.run());
-  runtime::spawn(Io, ChangeCoordinator.run());
-  runtime::spawn(Io, tick());
-  runtime::spawn(Io, rebalance());
-  runtime::spawn(Io, handleSignals());
+  const auto Keep = [this](const char *Name, std::function<Task<void>()> Run) {
+    runtime::spawn(Io, keepRunning(Name, std::move(Run)));
+  };
+  Keep("store view", [this] { return View.run(); });
+  Keep("registration", [this] { return Registrar.run(); });
+  Keep("exchange", [this] { return PeerExchange.run(); });
+  Keep("coordinator", [this] { return ChangeCoordinator.run(); });
+  Keep("tick", [this] { return tick(); });
+  Keep("rebalance", [this] { return rebalance(); });
+  Keep("signals", [this] { return handleSignals(); });
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
+// Starts a task again after an unexpected error, because the daemon cannot work
+// without it.
+Task<void> Daemon::keepRunning(std::string Name,
+                               std::function<Task<void>()> Run) {
+  for (;;) {
+    std::string Error;
+    try {
+      co_await Run();
+      co_return;
+    } catch (const std::exception &Thrown) {
+      Error = Thrown.what();
+    }
+    Log.write(event::TaskFailed, Name, Error);
+    co_await runtime::sleepFor(TaskRestartDelay);
+  }
+}
+
+// A connection counts as open from its acceptance on, so that a stop waits for
+// it.
 Expected<void> Daemon::listenForCallers(tcp::endpoint Address,
                                         Forwarding *Forwarder) {
-  return runtime::serve(Io, Address, [this, Forwarder](tcp::socket Socket) {
-    runtime::spawn(Io, serveCaller(std::make_shared<CallerConnection>(
-                           S, std::move(Socket), Forwarder)));
-  });
+  auto Open = runtime::Listener::open(
+      Io, Address, [this, Forwarder](tcp::socket Socket) {
+        const auto Caller =
+            std::make_shared<CallerConnection>(S, std::move(Socket), Forwarder);
+        Callers.insert(Caller);
+        runtime::spawn(Io, serveCaller(Caller));
+      });
+  if (!Open)
+    return std::move(Open).error();
+  CallerListeners.push_back(std::move(Open).value());
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
 Expected<void> Daemon::listen(std::uint16_t MetricsPort) {
@@ -99,10 +124,16 @@
         [this](const http::Request &Call) { return answerMetrics(Call); });
   if (!Bound)
     return Bound;
-  return peer::serve(Io, tcp::endpoint(Ip, S.Settings.PeerPort),
-                     [this](peer::Message Request) {
-                       return PeerExchange.answer(std::move(Request));
-                     });
+  return peer::serve(
+      Io, tcp::endpoint(Ip, S.Settings.PeerPort),
+      [this](peer::Message Request) {
+        return PeerExchange.answer(std::move(Request));
+      },
+      [this](const std::string &Sender, const Failure &Reason) {
+        S.Metrics.addRejectedPeerMessage();
+        if (RejectionLog.tryAcquire(bootTime()))
+          Log.write(event::PeerMessageRejected, Sender, Reason.Detail);
+      });
 }
 
 bool Daemon::isReady(Time /*Now*/) const {
@@ -134,9 +165,10 @@
 }
 
 Task<void> Daemon::serveCaller(std::shared_ptr<CallerConnection> Caller) {
-  Callers.insert(Caller);
+  // Also if an exception ends the session.
+  const std::shared_ptr<void> Removal(
+      nullptr, [this, Caller](void *) { Callers.erase(Caller); });
   co_await Caller->run();
-  Callers.erase(Caller);
 }
 
 Task<void> Daemon::tick() {
@@ -194,21 +226,20 @@
   }
 }
 
-// Accepts new connections until the load balancer has detected that the daemon
-// is not ready. Sessions are closed between statements. Open transactions have
-// half of the stop limit to end.
+// Sessions are closed between statements, and open transactions have half of
+// the limit to end. The lease is kept until no session needs it.
 Task<void> Daemon::stop() {
   const Time Start = bootTime();
   S.Stopping = true;
   Log.write(event::Draining, Callers.size());
   runtime::spawn(Io, ChangeCoordinator.resign("stopping"));
-  const Duration Limit = S.Settings.StopLimit - StopReserve;
-  for (;;) {
-    const Duration Passed = bootTime() - Start;
-    if (Passed >= Limit ||
-        (Passed >= LoadBalancerDetectionTime && Callers.empty()))
-      break;
-    closeCallers(Passed);
+  StopPlan Plan(Start, S.Settings.StopLimit);
+  for (StopPhase Phase = StopPhase::Announce; Phase != StopPhase::End;) {
+    Phase = Plan.update(bootTime(), Callers.size());
+    if (Phase == StopPhase::Finish)
+      closeCallerListeners();
+    if (Phase == StopPhase::Drain || Phase == StopPhase::Finish)
+      closeCallers(Plan.endsTransactions(bootTime()));
     co_await runtime::sleepFor(StopPollInterval);
   }
   // Ending the lease spares other daemons waiting for it to expire. The process
@@ -220,10 +251,12 @@
   Io.stop();
 }
 
-void Daemon::closeCallers(Duration Passed) {
-  if (Passed < LoadBalancerDetectionTime)
-    return;
-  const bool EndTransactions = Passed >= S.Settings.StopLimit / 2;
+void Daemon::closeCallerListeners() {
+  for (const auto &Open : std::exchange(CallerListeners, {}))
+    Open->close();
+}
+
+void Daemon::closeCallers(bool EndTransactions) {
   const auto Open = Callers;
   for (const auto &Caller : Open)
     if (Caller->isIdle() ||
--- a/src/entry/Daemon.h
+++ b/src/entry/Daemon.h
@@ -5,14 +5,19 @@
 #include "entry/CallerConnection.h"
 #include "entry/Coordinator.h"
 #include "entry/Exchange.h"
+#include "entry/LogRateLimiter.h"
 #include "entry/Registration.h"
 #include "entry/State.h"
+#include "entry/StopPlan.h"
 #include "entry/StoreView.h"
 #include "instance/DaemonSettings.h"
+#include "runtime/Listener.h"
 
+#include <functional>
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace borageridge::entry {
 
@@ -34,10 +39,13 @@
   Expected<void> listenForCallers(runtime::tcp::endpoint Address,
                                   Forwarding *Forwarder);
   runtime::Task<void> serveCaller(std::shared_ptr<CallerConnection> Caller);
+  runtime::Task<void> keepRunning(std::string Name,
+                                  std::function<runtime::Task<void>()> Run);
   runtime::Task<void> tick();
   runtime::Task<void> handleSignals();
   runtime::Task<void> stop();
-  void closeCallers(Duration Passed);
+  void closeCallerListeners();
+  void closeCallers(bool EndTransactions);
   void closeSessionsOfUnreachablePeers();
   runtime::Task<void> rebalance();
   bool isReady(Time Now) const;
@@ -53,6 +61,9 @@
   Coordinator ChangeCoordinator;
   Forwarding SessionForwarding;
   std::set<std::shared_ptr<CallerConnection>> Callers;
+  /// Listeners for callers and for forwarded sessions; empty once closed.
+  std::vector<std::shared_ptr<runtime::Listener>> CallerListeners;
+  LogRateLimiter RejectionLog;
   bool WasReady = false;
 };
 
--- a/src/entry/EntryMetrics.cpp
+++ b/src/entry/EntryMetrics.cpp
@@ -39,6 +39,12 @@
                   .Help("Further attempts to run a statement")
                   .Register(Registry)
                   .Add({})),
+      RejectedPeerMessages(
+          prometheus::BuildCounter()
+              .Name("borageridge_peer_messages_rejected_total")
+              .Help("Messages on the peer port that cannot be decoded")
+              .Register(Registry)
+              .Add({})),
       ReplicaReads(Reads.Add({{"role", "replica"}})),
       PrimaryReads(Reads.Add({{"role", "primary"}})),
       State(prometheus::BuildGauge()
@@ -62,6 +68,10 @@
     Errors.Add({{"error", std::string(statement::name(*Error))}}).Increment();
 }
 
+void EntryMetrics::addRejectedPeerMessage() {
+  RejectedPeerMessages.Increment();
+}
+
 void EntryMetrics::addRetry() { Retries.Increment(); }
 
 void EntryMetrics::addRead(bool OnPrimary) {
--- a/src/entry/EntryMetrics.h
+++ b/src/entry/EntryMetrics.h
@@ -29,6 +29,7 @@
   void addRetry();
   void addRead(bool OnPrimary);
   void addChange(std::string_view Cause);
+  void addRejectedPeerMessage();
   void setState(std::uint64_t ConfigVersion, std::size_t Sessions,
                 std::size_t Waiting, std::size_t Connections,
                 std::uint64_t StoreCalls, std::uint64_t Opened);
@@ -43,6 +44,7 @@
   prometheus::Family<prometheus::Counter> &Reads;
   prometheus::Family<prometheus::Counter> &Changes;
   prometheus::Counter &Retries;
+  prometheus::Counter &RejectedPeerMessages;
   prometheus::Counter &ReplicaReads;
   prometheus::Counter &PrimaryReads;
   prometheus::Family<prometheus::Gauge> &State;
--- a/src/entry/Events.cpp
+++ b/src/entry/Events.cpp
@@ -8,9 +8,10 @@
       Started, Ready, Draining, Stopped, SettingsReloaded, StartFailed,
       ConfigApplied, EntryIgnored, RecordApplied, MemberLeaving,
       MemberSuspected, MemberRecovered, ConnectionRefused, StoreLost,
-      StoreRegained, LeaseGranted, LeaseLost, PeerLost, PeerSeen, DutyTaken,
-      DutyLost, ChangeStarted, ChangeStep, ChangeCompleted, ChangeFailed,
-      UseRelinquished, RequestRefused, RequestRetried, LinesSuppressed);
+      StoreRegained, LeaseGranted, LeaseLost, PeerLost, PeerSeen,
+      PeerMessageRejected, TaskFailed, DutyTaken, DutyLost, ChangeStarted,
+      ChangeStep, ChangeCompleted, ChangeFailed, UseRelinquished,
+      RequestRefused, RequestRetried, LinesSuppressed);
 }
 
 } // namespace borageridge::entry
--- a/src/entry/Events.h
+++ b/src/entry/Events.h
@@ -62,6 +62,11 @@
 inline constexpr EventType<Text> PeerSeen{
     "peer_seen", LogLevel::Info, {"peer"}};
 
+inline constexpr EventType<Text, Text> PeerMessageRejected{
+    "peer_message_rejected", LogLevel::Warning, {"sender", "detail"}};
+inline constexpr EventType<Text, Text> TaskFailed{
+    "task_failed", LogLevel::Error, {"task", "detail"}};
+
 // Changes of primary.
 inline constexpr EventType<Number> DutyTaken{
     "duty_taken", LogLevel::Info, {"fencing_token"}};
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -26,35 +26,23 @@
 // report, because they may still hold connections, and register again soon if
 // the store lost its leases.
 constexpr Duration PeerLifetime = std::chrono::seconds(10);
+// Longer than the longest watch of the store.
+constexpr Duration MaxRelayTime = std::chrono::seconds(35);
 
 std::size_t intervalFactor(std::size_t Peers) {
   return std::max<std::size_t>(1, Peers / PeersPerInterval);
 }
 
-std::int64_t microseconds(Duration D) {
-  return std::chrono::duration_cast<std::chrono::microseconds>(D).count();
+peer::EncodedRecord encodeRecord(const std::string &Service,
+                                 const cluster::GroupRecord &Record) {
+  return {Service, Record.Epoch, cluster::encode(Record)};
 }
 
-Message encodeRecord(const std::string &Service,
-                     const cluster::GroupRecord &Record) {
-  return {{"service", Service},
-          {"epoch", Record.Epoch},
-          {"record", cluster::encode(Record)}};
-}
-
-void applyEncodedRecord(State &S, const Message &Entry) {
-  const auto Record = cluster::decodeGroup(
-      Entry.value("record", ""), Entry.value("epoch", std::uint64_t(0)));
+// Daemons send an empty record for services of which they know none.
+void applyEncodedRecord(State &S, const peer::EncodedRecord &Entry) {
+  const auto Record = cluster::decodeGroup(Entry.Record, Entry.Epoch);
   if (Record)
-    applyRecord(S, Entry.value("service", ""), Record.value());
-}
-
-Message encodeResponse(const Expected<http::Response> &Answer) {
-  if (!Answer)
-    return {{"failure", Answer.error().Kind == FailureKind::Unavailable
-                            ? "unavailable"
-                            : "unknown"}};
-  return {{"status", Answer.value().Status}, {"body", Answer.value().Body}};
+    applyRecord(S, Entry.Service, Record.value());
 }
 
 } // namespace
@@ -129,61 +117,58 @@
     co_return;
   const auto Channel = Queried->second.Channel;
   const Time RequestedAt = bootTime();
-  Message Request = {{"type", "exchange"}, {"from", S.Settings.InstanceName}};
-  Expected<Message> Answer =
+  Message Request = encode(peer::ExchangeRequest{S.Settings.InstanceName});
+  const Expected<Message> Answer =
       co_await Channel->request(std::move(Request), QueryTimeout);
+  const Expected<peer::StateReport> Report =
+      Answer ? peer::decodeReport(Answer.value())
+             : Expected<peer::StateReport>(Answer.error());
   const auto Found = S.Peers.find(Name);
   if (Found == S.Peers.end() || Found->second.Channel != Channel)
     co_return;
   Peer &Other = Found->second;
-  if (Answer.has_value() == Other.Unreachable) {
+  if (Report.has_value() == Other.Unreachable) {
     Other.Unreachable = !Other.Unreachable;
     if (Other.Unreachable) {
       S.UnreachablePeers.push_back(Name);
-      S.Log.write(event::PeerLost, Name, Answer.error().Detail);
+      S.Log.write(event::PeerLost, Name, Report.error().Detail);
     } else {
       S.Log.write(event::PeerSeen, Name);
     }
   }
-  if (Answer)
-    applyReport(Other, Answer.value(), RequestedAt, bootTime());
+  if (Report)
+    applyReport(Other, Report.value(), RequestedAt, bootTime());
 }
 
-void Exchange::applyReport(Peer &From, const Message &Answer, Time RequestedAt,
-                           Time Now) {
+void Exchange::applyReport(Peer &From, const peer::StateReport &Answer,
+                           Time RequestedAt, Time Now) {
   PeerReport Report;
   Report.Received = Now;
-  Report.ReachesStore = Answer.value("store", false);
-  S.NewestConfigSeen =
-      std::max(S.NewestConfigSeen, Answer.value("config", std::uint64_t(0)));
-  for (const Message &Entry : Answer.value("groups", Message::array())) {
-    applyEncodedRecord(S, Entry);
-    const std::string Service = Entry.value("service", "");
+  Report.ReachesStore = Answer.ReachesStore;
+  S.NewestConfigSeen = std::max(S.NewestConfigSeen, Answer.ConfigVersion);
+  for (const peer::GroupReport &Group : Answer.Groups) {
+    applyEncodedRecord(S, Group.Record);
+    const std::string &Service = Group.Record.Service;
     change::PrimaryReport &Primary = Report.Primaries[Service];
-    Primary.Member = Entry.value("primary", "");
-    if (Entry.contains("silent_us"))
-      Primary.Seen = pool::Evidence{
-          Entry.value("refused", false),
-          std::chrono::microseconds(Entry.value("silent_us", 0LL))};
+    Primary.Member = Group.Primary;
+    if (Group.PrimarySilence)
+      Primary.Seen = pool::Evidence{Group.PrimarySilence->Refused,
+                                    Group.PrimarySilence->Elapsed};
     const auto Pool = S.ByService.find(Service);
-    if (Pool == S.ByService.end() || !Entry.contains("sample_age_us"))
+    if (Pool == S.ByService.end() || !Group.Sample)
       continue;
     // The age is relative to the time of the answer. Measuring it from the
     // earlier time of the request never makes the sample appear too recent.
-    const Time AsOf = RequestedAt - std::chrono::microseconds(
-                                        Entry.value("sample_age_us", 0LL));
-    Pool->second->addSample(Entry.value("log_epoch", std::uint64_t(0)), AsOf,
-                            {Entry.value("sample_term", Term(0)),
-                             Entry.value("sample_index", LogIndex(0))});
+    Pool->second->addSample(Group.Sample->LogEpoch,
+                            RequestedAt - Group.Sample->Age,
+                            {Group.Sample->EntryTerm, Group.Sample->Index});
   }
-  const Message InFlight = Answer.value("in_flight", Message::object());
-  for (const auto &[Member, Count] : InFlight.items())
-    Report.InFlight[Member] = Count.get<std::uint32_t>();
+  Report.InFlight = Answer.InFlight;
   // Members at which the peer lacks connections of its share because other
   // daemons hold them.
-  for (const Message &Member : Answer.value("starved", Message::array()))
+  for (const std::string &Member : Answer.StarvedMembers)
     for (const auto &[Service, Pool] : S.ByService)
-      Pool->stopBorrowing(Member.get<std::string>(), Now);
+      Pool->stopBorrowing(Member, Now);
   From.LastReport = std::move(Report);
 }
 
@@ -212,71 +197,74 @@
     Pool->setOthersInFlight(Sum);
 }
 
-Message Exchange::report(Time Now) const {
-  Message Groups = Message::array();
-  Message InFlight = Message::object();
-  Message Starved = Message::array();
+peer::StateReport Exchange::report(Time Now) const {
+  peer::StateReport Result;
   for (const auto &[Service, Pool] : S.ByService) {
     if (!Pool->isConnectionHolder())
       continue;
     const cluster::GroupRecord &Record = Pool->record();
-    Message Entry = encodeRecord(Service, Record);
-    Entry["primary"] = Record.Primary;
-    if (const auto Seen = Pool->evidence(Record.Primary, Now)) {
-      Entry["silent_us"] = microseconds(Seen->Elapsed);
-      Entry["refused"] = Seen->Refused;
-    }
-    if (const auto Sample = Pool->newestSample()) {
-      Entry["log_epoch"] = Pool->logEpoch();
-      Entry["sample_age_us"] = microseconds(Now - Sample->AsOf);
-      Entry["sample_term"] = Sample->At.EntryTerm;
-      Entry["sample_index"] = Sample->At.Index;
-    }
-    Groups.push_back(std::move(Entry));
+    peer::GroupReport Group;
+    Group.Record = encodeRecord(Service, Record);
+    Group.Primary = Record.Primary;
+    if (const auto Seen = Pool->evidence(Record.Primary, Now))
+      Group.PrimarySilence = peer::Silence{Seen->Elapsed, Seen->Refused};
+    if (const auto Sample = Pool->newestSample())
+      Group.Sample =
+          peer::PositionSample{Pool->logEpoch(), Now - Sample->AsOf,
+                               Sample->At.EntryTerm, Sample->At.Index};
+    Result.Groups.push_back(std::move(Group));
     for (const auto &[Member, Count] : Pool->inFlight())
-      InFlight[Member] = Count;
+      Result.InFlight[Member] = Count;
     for (const std::string &Member : Pool->starvedMembers(Now))
-      Starved.push_back(Member);
+      Result.StarvedMembers.push_back(Member);
   }
-  return {{"groups", std::move(Groups)},
-          {"in_flight", std::move(InFlight)},
-          {"starved", std::move(Starved)},
-          {"config", S.StatementExecutor.catalog().Version},
-          {"store", S.Store.isReachable(Now)}};
+  Result.ConfigVersion = S.StatementExecutor.catalog().Version;
+  Result.ReachesStore = S.Store.isReachable(Now);
+  return Result;
 }
 
-Task<Message> Exchange::answer(Message Request) {
-  const std::string Type = Request.value("type", "");
-  if (Type == "relay")
-    co_return co_await relayForPeer(std::move(Request));
-  if (Type == "record") {
-    applyEncodedRecord(S, Request);
+Task<Expected<Message>> Exchange::answer(Message Content) {
+  Expected<peer::Request> Request = peer::decodeRequest(Content);
+  if (!Request)
+    co_return std::move(Request).error();
+  if (auto *Relayed = std::get_if<peer::RelayRequest>(&Request.value()))
+    co_return co_await relayForPeer(std::move(*Relayed));
+  if (const auto *Notice = std::get_if<peer::RecordNotice>(&Request.value())) {
+    applyEncodedRecord(S, Notice->Newer);
     co_return Message::object();
   }
-  if (Type == "relinquish") {
-    const std::string Service = Request.value("service", "");
-    const auto Epoch = Request.value("ends", std::uint64_t(0));
-    const auto Pool = S.ByService.find(Service);
-    // A daemon that does not know the service has not used its primary.
-    if (Pool != S.ByService.end())
-      co_await Pool->second->relinquish(Epoch, DrainTimeout);
-    applyEncodedRecord(S, Request);
-    S.Log.write(event::UseRelinquished, Service, Epoch);
-    Message Done = {{"done", true}};
-    co_return Done;
-  }
-  co_return report(bootTime());
+  if (const auto *Wanted =
+          std::get_if<peer::RelinquishRequest>(&Request.value()))
+    co_return co_await relinquishForPeer(*Wanted);
+  co_return encode(report(bootTime()));
 }
 
-Task<Message> Exchange::relayForPeer(Message Request) {
+Task<Message> Exchange::relinquishForPeer(peer::RelinquishRequest Wanted) {
+  const std::string &Service = Wanted.Newer.Service;
+  const auto Pool = S.ByService.find(Service);
+  // A daemon that does not know the service has not used its primary.
+  if (Pool != S.ByService.end())
+    co_await Pool->second->relinquish(Wanted.EndsEpoch, DrainTimeout);
+  applyEncodedRecord(S, Wanted.Newer);
+  S.Log.write(event::UseRelinquished, Service, Wanted.EndsEpoch);
+  co_return peer::encodeRelinquished();
+}
+
+Task<Message> Exchange::relayForPeer(peer::RelayRequest Request) {
   http::Request Call;
-  Call.Method = Request.value("method", "GET");
-  Call.Target = Request.value("target", "");
-  Call.Body = Request.value("body", "");
-  const Duration Limit =
-      std::chrono::microseconds(Request.value("limit_us", 0LL));
-  co_return encodeResponse(
-      co_await S.Store.callDirectly(std::move(Call), Limit));
+  Call.Method = std::move(Request.Method);
+  Call.Target = std::move(Request.Target);
+  Call.Body = std::move(Request.Body);
+  Expected<http::Response> Answer = co_await S.Store.callDirectly(
+      std::move(Call), std::min(Request.Limit, MaxRelayTime));
+  peer::RelayReply Reply;
+  if (Answer) {
+    Reply.Status = Answer.value().Status;
+    Reply.Body = std::move(Answer.value().Body);
+  } else {
+    Reply.NotExecuted = Answer.error().Kind == FailureKind::Unavailable;
+  }
+  co_return encode(Reply);
 }
 
 Task<Expected<http::Response>> Exchange::relay(http::Request Call,
@@ -294,22 +282,23 @@
   }
   if (!Best)
     co_return Failure{FailureKind::Unavailable, "no peer can reach the store"};
-  Message Request = {{"type", "relay"},
-                     {"method", Call.Method},
-                     {"target", Call.Target},
-                     {"body", Call.Body},
-                     {"limit_us", microseconds(Limit)}};
-  Expected<Message> Answer = co_await Best->request(std::move(Request), Limit);
+  Message Request =
+      encode(peer::RelayRequest{Call.Method, Call.Target, Call.Body, Limit});
+  const Expected<Message> Answer =
+      co_await Best->request(std::move(Request), Limit);
   if (!Answer)
-    co_return std::move(Answer).error();
-  if (!Answer.value().contains("status"))
-    co_return Failure{Answer.value().value("failure", "") == "unavailable"
-                          ? FailureKind::Unavailable
-                          : FailureKind::Unknown,
+    co_return Answer.error();
+  Expected<peer::RelayReply> Reply = peer::decodeRelayReply(Answer.value());
+  // An undecodable reply does not tell whether the store executed the request.
+  if (!Reply)
+    co_return Failure{FailureKind::Unknown, Reply.error().Detail};
+  if (!Reply.value().Status)
+    co_return Failure{Reply.value().NotExecuted ? FailureKind::Unavailable
+                                                : FailureKind::Unknown,
                       "the call to the store failed at the relaying peer"};
   http::Response Result;
-  Result.Status = Answer.value().value("status", 0U);
-  Result.Body = Answer.value().value("body", "");
+  Result.Status = *Reply.value().Status;
+  Result.Body = std::move(Reply.value().Body);
   co_return Result;
 }
 
@@ -320,18 +309,17 @@
   if (Found == S.Peers.end() || !Found->second.Channel)
     co_return false;
   const auto Channel = Found->second.Channel;
-  Message Request = encodeRecord(Service, Newer);
-  Request["type"] = "relinquish";
-  Request["ends"] = Epoch;
+  Message Request =
+      encode(peer::RelinquishRequest{encodeRecord(Service, Newer), Epoch});
   const Expected<Message> Answer =
       co_await Channel->request(std::move(Request), Limit);
-  co_return Answer &&Answer.value().value("done", false);
+  co_return Answer &&peer::decodeRelinquished(Answer.value());
 }
 
 void Exchange::announce(const std::string &Service,
                         const cluster::GroupRecord &Newer) {
-  Message Request = encodeRecord(Service, Newer);
-  Request["type"] = "record";
+  const Message Request =
+      encode(peer::RecordNotice{encodeRecord(Service, Newer)});
   const auto Send = [](std::shared_ptr<peer::PeerChannel> To,
                        Message M) -> Task<void> {
     // Peers that are not reached receive the record through their watch of the
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -2,6 +2,7 @@
 #define BORAGERIDGE_ENTRY_EXCHANGE_H
 
 #include "entry/State.h"
+#include "peer/Messages.h"
 
 namespace borageridge::entry {
 
@@ -16,7 +17,8 @@
   /// until the event loop stops.
   runtime::Task<void> run();
   /// Handles a request of a peer and returns the answer.
-  runtime::Task<peer::Message> answer(peer::Message Request);
+  /// Returns Corrupt if the request cannot be decoded; it has no effect then.
+  runtime::Task<Expected<peer::Message>> answer(peer::Message Content);
 
   /// Sends a call to the store through the peer that reported last among those
   /// that can reach it. Limit: for the answer. Fails if there is no such peer.
@@ -36,13 +38,15 @@
 private:
   bool isQueriedAtEachInterval(const std::string &Name) const;
   runtime::Task<void> queryPeer(std::string Name);
-  void applyReport(Peer &From, const peer::Message &Answer, Time RequestedAt,
-                   Time Now);
+  void applyReport(Peer &From, const peer::StateReport &Answer,
+                   Time RequestedAt, Time Now);
   void updatePeerLoad(Time Now);
   void addSeedPeers();
   void removeSeedPeersOnceFleetIsKnown();
-  peer::Message report(Time Now) const;
-  runtime::Task<peer::Message> relayForPeer(peer::Message Request);
+  peer::StateReport report(Time Now) const;
+  runtime::Task<peer::Message> relayForPeer(peer::RelayRequest Request);
+  runtime::Task<peer::Message>
+  relinquishForPeer(peer::RelinquishRequest Wanted);
 
   State &S;
 };
--- a/src/entry/ExchangeTest.cpp
+++ b/src/entry/ExchangeTest.cpp
@@ -21,6 +21,8 @@
   CPPUNIT_TEST(marksPeerThatDoesNotAnswerAsUnreachable);
   CPPUNIT_TEST(relinquishingEndsTheUseOfThePrimary);
   CPPUNIT_TEST(confirmsRelinquishingOfAnUnknownServiceAtOnce);
+  CPPUNIT_TEST(undecodableRequestFailsWithoutEffect);
+  CPPUNIT_TEST(peerWithAnUndecodableReportIsUnreachable);
   CPPUNIT_TEST(countsADaemonThatIsAlsoASeedOnce);
   CPPUNIT_TEST(peerRemovedBeforeItsQueryIsNotAddedAgain);
   CPPUNIT_TEST(seedThatIsNotYetKnownAsADaemonIsQueriedButNotCounted);
@@ -29,10 +31,19 @@
   State S{Io, settings(), runtime::tcp::endpoint(), Log};
   Exchange Subject{S};
 
+  static void ignoreRejection(const std::string & /*Sender*/,
+                              const Failure & /*Reason*/) {}
+
   Message answerTo(Message Request) {
-    std::optional<Message> Result;
+    const Expected<Message> Answer = resultOf(std::move(Request));
+    CPPUNIT_ASSERT(Answer.has_value());
+    return Answer.value();
+  }
+
+  Expected<Message> resultOf(Message Request) {
+    std::optional<Expected<Message>> Result;
     const auto Await = [&]() -> runtime::Task<void> {
-      Result = co_await Subject.answer(Request);
+      Result.emplace(co_await Subject.answer(Request));
       Io.stop();
     };
     runtime::spawn(Io, Await());
@@ -67,12 +78,13 @@
 
   void storesNewerConfigurationVersionOfAPeer() {
     const std::uint16_t Port = freePort();
-    const auto Bound =
-        peer::serve(Io, {runtime::asio::ip::address_v4::loopback(), Port},
-                    [](Message) -> runtime::Task<Message> {
-                      Message Report = {{"config", 9}, {"store", true}};
-                      co_return Report;
-                    });
+    const auto Bound = peer::serve(
+        Io, {runtime::asio::ip::address_v4::loopback(), Port},
+        [](Message) -> runtime::Task<Expected<Message>> {
+          Message Report = {{"config", 9}, {"store", true}};
+          co_return Report;
+        },
+        ignoreRejection);
     CPPUNIT_ASSERT(Bound.has_value());
     addPeer("entry-2", Port);
     runtime::spawn(Io, Subject.run());
@@ -80,16 +92,49 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(9), S.NewestConfigSeen);
   }
 
+  void undecodableRequestFailsWithoutEffect() {
+    auto &Pool = S.ByService["db"];
+    Pool = std::make_unique<pool::ServicePool>(S.Shared, "db");
+    const Time Now = runtime::bootTime();
+    S.Lease.confirm(7, Now, std::chrono::seconds(60));
+    Pool->setRecord({9, 1, "p", false, 0}, Now);
+    for (const Message &Request :
+         {Message{{"type", 5}},
+          Message{{"type", "relinquish"}, {"service", "db"}, {"ends", "9"}},
+          Message{{"type", "relinquish"}, {"service", 1}, {"ends", 9}},
+          Message{{"type", "record"}, {"service", "db"}, {"record", 1}}})
+      CPPUNIT_ASSERT(resultOf(Request).error().Kind == FailureKind::Corrupt);
+    CPPUNIT_ASSERT(Pool->mayUsePrimary(Now));
+  }
+
+  void peerWithAnUndecodableReportIsUnreachable() {
+    const std::uint16_t Port = freePort();
+    const auto Bound = peer::serve(
+        Io, {runtime::asio::ip::address_v4::loopback(), Port},
+        [](Message) -> runtime::Task<Expected<Message>> {
+          Message Report = {{"in_flight", {{"m", "many"}}}, {"config", 9}};
+          co_return Report;
+        },
+        ignoreRejection);
+    CPPUNIT_ASSERT(Bound.has_value());
+    addPeer("entry-2", Port);
+    runtime::spawn(Io, Subject.run());
+    runLoopFor(milliseconds(400));
+    CPPUNIT_ASSERT(S.Peers["entry-2"].Unreachable);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), S.NewestConfigSeen);
+  }
+
   /// Serves reports with two statements in flight at member "m" on the peer
   /// port of a loopback address.
   void serveReports(const std::string &Ip) {
     S.Settings.PeerPort = freePort();
     const auto Bound = peer::serve(
         Io, {runtime::asio::ip::make_address_v4(Ip), S.Settings.PeerPort},
-        [](Message) -> runtime::Task<Message> {
+        [](Message) -> runtime::Task<Expected<Message>> {
           Message Report = {{"in_flight", {{"m", 2}}}, {"config", 4}};
           co_return Report;
-        });
+        },
+        ignoreRejection);
     CPPUNIT_ASSERT(Bound.has_value());
   }
 
--- a/src/entry/Registration.cpp
+++ b/src/entry/Registration.cpp
@@ -19,7 +19,8 @@
 } // namespace
 
 Task<void> Registration::run() {
-  while (!S.Stopping) {
+  // A stopping daemon renews its lease while it still serves.
+  while (!Released) {
     bool Done = true;
     if (S.Lease.id() == 0)
       Done = co_await registerDaemon();
@@ -55,7 +56,7 @@
                         cluster::encode(Self), Grant.value().Id});
   const Expected<keyvalue::Revision> Written =
       co_await S.Store.commit(std::move(Entry));
-  if (!Written || S.Stopping)
+  if (!Written || Released)
     co_return false;
   const Expected<void> Read = co_await View.refreshRecords();
   if (!Read)
@@ -99,6 +100,7 @@
 }
 
 Task<void> Registration::release() {
+  Released = true;
   const keyvalue::LeaseId Id = S.Lease.id();
   if (Id == 0)
     co_return;
--- a/src/entry/Registration.h
+++ b/src/entry/Registration.h
@@ -27,6 +27,7 @@
   State &S;
   StoreView &View;
   bool WasValid = false;
+  bool Released = false;
   /// The last lease that expired locally. The store may still hold it, so a
   /// later renewal can succeed.
   keyvalue::LeaseId ExpiredLease = 0;
--- /dev/null
+++ b/src/entry/StopPlan.cpp
@@ -0,0 +1,42 @@
+#include "entry/StopPlan.h"
+
+#include <algorithm>
+
+namespace borageridge::entry {
+namespace {
+
+// The load balancer checks readiness once a second and stops sending
+// connections after two failed checks.
+constexpr Duration LoadBalancerDetectionTime = std::chrono::milliseconds(2300);
+// Time for the sessions that were accepted last: longer than a statement
+// usually takes.
+constexpr Duration FinishTime = std::chrono::milliseconds(1000);
+// Time left for the end of the lease and of the process before it is killed.
+constexpr Duration EndReserve = std::chrono::milliseconds(400);
+
+} // namespace
+
+StopPlan::StopPlan(Time Begin, Duration KilledAfter)
+    : Start(Begin), Limit(std::max(Duration(), KilledAfter - EndReserve)) {}
+
+// The listener stays open while sessions are open, since the sessions then keep
+// the process running anyway, and a connection that is served is better than
+// one that is refused.
+StopPhase StopPlan::update(Time Now, std::size_t OpenSessions) {
+  const bool Idle = OpenSessions == 0;
+  if (Phase == StopPhase::Announce &&
+      hasPassed(Now, std::min(LoadBalancerDetectionTime, Limit / 2)))
+    Phase = StopPhase::Drain;
+  else if (Phase == StopPhase::Drain &&
+           (Idle || hasPassed(Now, Limit - FinishTime)))
+    Phase = StopPhase::Finish;
+  else if (Phase == StopPhase::Finish && (Idle || hasPassed(Now, Limit)))
+    Phase = StopPhase::End;
+  return Phase;
+}
+
+bool StopPlan::endsTransactions(Time Now) const {
+  return hasPassed(Now, (Limit + EndReserve) / 2);
+}
+
+} // namespace borageridge::entry
--- /dev/null
+++ b/src/entry/StopPlan.h
@@ -0,0 +1,50 @@
+#ifndef BORAGERIDGE_ENTRY_STOPPLAN_H
+#define BORAGERIDGE_ENTRY_STOPPLAN_H
+
+#include "borageridge/Types.h"
+
+#include <cstddef>
+
+namespace borageridge::entry {
+
+/// Phases of a planned stop, in the order in which they are entered.
+enum class StopPhase {
+  /// Not ready; serves all sessions and accepts new ones, until the load
+  /// balancer has noticed.
+  Announce,
+  /// Closes idle sessions; still accepts new ones, which a load balancer sends
+  /// if it has no other daemon.
+  Drain,
+  /// Accepts no more sessions and lets those that are open finish.
+  Finish,
+  /// No session is open, or the time is over: the process ends.
+  End,
+};
+
+/// Decides how a stop proceeds, so that no request that was read goes without
+/// an answer while the time limit lasts.
+class StopPlan {
+public:
+  /// Limit: time after Start at which the process is killed.
+  StopPlan(Time Start, Duration Limit);
+
+  /// Returns the phase for the number of open sessions. Phases never go back,
+  /// so that the caller may act when the phase changes.
+  StopPhase update(Time Now, std::size_t OpenSessions);
+
+  /// Whether open transactions that wait for their caller are ended.
+  bool endsTransactions(Time Now) const;
+
+private:
+  bool hasPassed(Time Now, Duration Since) const {
+    return Now - Start >= Since;
+  }
+
+  Time Start;
+  Duration Limit;
+  StopPhase Phase = StopPhase::Announce;
+};
+
+} // namespace borageridge::entry
+
+#endif // BORAGERIDGE_ENTRY_STOPPLAN_H
--- /dev/null
+++ b/src/entry/StopPlanTest.cpp
@@ -0,0 +1,82 @@
+#include "entry/StopPlan.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace borageridge::entry {
+namespace {
+
+using std::chrono::milliseconds;
+
+class StopPlanTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(StopPlanTest);
+  CPPUNIT_TEST(servesAllUntilTheLoadBalancerHasNoticed);
+  CPPUNIT_TEST(listenerClosesBeforeTheProcessEnds);
+  CPPUNIT_TEST(sessionAcceptedWhenTheListenerClosedKeepsTheProcess);
+  CPPUNIT_TEST(sessionsThatNeverEndAreLeftAtTheLimit);
+  CPPUNIT_TEST(listenerClosesEarlyEnoughForTheLastSessions);
+  CPPUNIT_TEST(transactionsHaveHalfOfTheLimit);
+  CPPUNIT_TEST(shortLimitStillPassesThroughAllPhases);
+  CPPUNIT_TEST_SUITE_END();
+
+  const Time Start = Time() + std::chrono::hours(1);
+  StopPlan Subject{Start, milliseconds(6000)};
+
+  StopPhase at(int Ms, std::size_t Sessions) {
+    return Subject.update(Start + milliseconds(Ms), Sessions);
+  }
+
+  void servesAllUntilTheLoadBalancerHasNoticed() {
+    CPPUNIT_ASSERT(at(0, 0) == StopPhase::Announce);
+    CPPUNIT_ASSERT(at(2250, 0) == StopPhase::Announce);
+    CPPUNIT_ASSERT(at(2300, 4) == StopPhase::Drain);
+    CPPUNIT_ASSERT(at(2400, 4) == StopPhase::Drain);
+  }
+
+  // The process must not end in the step in which the listener closes: sessions
+  // that waited to be accepted begin then.
+  void listenerClosesBeforeTheProcessEnds() {
+    at(2300, 0);
+    CPPUNIT_ASSERT(at(2300, 0) == StopPhase::Finish);
+    CPPUNIT_ASSERT(at(2350, 0) == StopPhase::End);
+  }
+
+  void sessionAcceptedWhenTheListenerClosedKeepsTheProcess() {
+    at(2300, 0);
+    CPPUNIT_ASSERT(at(2350, 0) == StopPhase::Finish);
+    CPPUNIT_ASSERT(at(2400, 1) == StopPhase::Finish);
+    CPPUNIT_ASSERT(at(3900, 1) == StopPhase::Finish);
+    CPPUNIT_ASSERT(at(3950, 0) == StopPhase::End);
+  }
+
+  void sessionsThatNeverEndAreLeftAtTheLimit() {
+    at(2300, 1);
+    at(5000, 1);
+    CPPUNIT_ASSERT(at(5500, 1) == StopPhase::Finish);
+    CPPUNIT_ASSERT(at(5650, 1) == StopPhase::End);
+    CPPUNIT_ASSERT(at(5700, 1) == StopPhase::End);
+  }
+
+  void listenerClosesEarlyEnoughForTheLastSessions() {
+    at(2300, 1);
+    CPPUNIT_ASSERT(at(4500, 1) == StopPhase::Drain);
+    CPPUNIT_ASSERT(at(4650, 1) == StopPhase::Finish);
+  }
+
+  void transactionsHaveHalfOfTheLimit() {
+    CPPUNIT_ASSERT(!Subject.endsTransactions(Start + milliseconds(2999)));
+    CPPUNIT_ASSERT(Subject.endsTransactions(Start + milliseconds(3000)));
+  }
+
+  void shortLimitStillPassesThroughAllPhases() {
+    Subject = StopPlan(Start, milliseconds(1000));
+    CPPUNIT_ASSERT(at(290, 1) == StopPhase::Announce);
+    CPPUNIT_ASSERT(at(310, 1) == StopPhase::Drain);
+    CPPUNIT_ASSERT(at(320, 1) == StopPhase::Finish);
+    CPPUNIT_ASSERT(at(600, 1) == StopPhase::End);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StopPlanTest);
+
+} // namespace
+} // namespace borageridge::entry
--- a/src/keyvalue/StoreClient.cpp
+++ b/src/keyvalue/StoreClient.cpp
@@ -111,9 +111,12 @@
       co_return std::move(Page).error();
     if (After.empty())
       Result.StoreRevision = Page.value().StoreRevision;
+    // The next page starts after the last item, so that a page without items
+    // cannot be continued.
+    const bool IsLast = !Page.value().HasMore || Page.value().Items.empty();
     for (Item &Read : Page.value().Items)
       Result.Items.push_back(std::move(Read));
-    if (!Page.value().HasMore || Result.Items.empty())
+    if (IsLast)
       co_return Result;
     After = Result.Items.back().Key;
   }
--- a/src/peer/PeerChannel.cpp
+++ b/src/peer/PeerChannel.cpp
@@ -2,6 +2,7 @@
 
 #include "runtime/Listener.h"
 
+#include <algorithm>
 #include <array>
 #include <deque>
 #include <utility>
@@ -18,40 +19,43 @@
 
 constexpr Duration ConnectTimeout = std::chrono::milliseconds(400);
 constexpr Duration WriteTimeout = std::chrono::milliseconds(3000);
-// Larger than a page of a range read from the store.
-constexpr std::size_t MaxFrameBytes = std::size_t(8) << 20;
-constexpr std::size_t HeaderBytes = 4;
-
-// A frame is a 4-byte big-endian length followed by a MessagePack object.
-std::string encodeFrame(const Message &Content) {
-  std::string Frame(HeaderBytes, '\0');
-  nlohmann::json::to_msgpack(Content,
-                             nlohmann::detail::output_adapter<char>(Frame));
-  const std::size_t Size = Frame.size() - HeaderBytes;
-  for (std::size_t I = 0; I < HeaderBytes; ++I)
-    Frame[I] = static_cast<char>(Size >> (8 * (HeaderBytes - 1 - I)));
-  return Frame;
-}
+// A frame is read in pieces of this size, so that its header alone does not
+// reserve memory.
+constexpr std::size_t ReadChunkBytes = std::size_t(64) << 10;
+
+enum class ReadResult { Read, Closed, Invalid };
 
-Task<bool> readFrame(tcp::socket &Socket, Message &Result) {
-  std::array<unsigned char, HeaderBytes> Header{};
+// On Invalid, Reason says what is wrong with the frame.
+Task<ReadResult> readFrame(tcp::socket &Socket, Message &Result,
+                           Failure &Reason) {
+  std::array<std::uint8_t, FrameHeaderBytes> Header{};
   error_code Error;
   co_await runtime::asio::async_read(Socket, runtime::asio::buffer(Header),
                                      redirect_error(use_awaitable, Error));
   if (Error)
-    co_return false;
-  std::size_t Size = 0;
-  for (const unsigned char Byte : Header)
-    Size = Size << 8 | Byte;
-  if (Size > MaxFrameBytes)
-    co_return false;
-  std::vector<std::uint8_t> Bytes(Size);
-  co_await runtime::asio::async_read(Socket, runtime::asio::buffer(Bytes),
-                                     redirect_error(use_awaitable, Error));
-  if (Error)
-    co_return false;
-  Result = Message::from_msgpack(Bytes, true, false);
-  co_return Result.is_object();
+    co_return ReadResult::Closed;
+  const std::size_t Size = frameSize(Header);
+  if (Size > MaxFrameBytes) {
+    Reason = {FailureKind::Corrupt, "frame is too long"};
+    co_return ReadResult::Invalid;
+  }
+  std::vector<std::uint8_t> Bytes;
+  while (Bytes.size() < Size) {
+    const std::size_t Old = Bytes.size();
+    Bytes.resize(std::min(Size, Old + ReadChunkBytes));
+    co_await runtime::asio::async_read(
+        Socket, runtime::asio::buffer(Bytes.data() + Old, Bytes.size() - Old),
+        redirect_error(use_awaitable, Error));
+    if (Error)
+      co_return ReadResult::Closed;
+  }
+  Expected<Message> Decoded = decodeFrame(Bytes);
+  if (!Decoded) {
+    Reason = std::move(Decoded).error();
+    co_return ReadResult::Invalid;
+  }
+  Result = std::move(Decoded).value();
+  co_return ReadResult::Read;
 }
 
 // Queues frames and writes them in order.
@@ -94,21 +98,46 @@
   bool Writing = false;
 };
 
+struct Server {
+  runtime::asio::io_context &Io;
+  Handler Handle;
+  RejectionHandler OnRejection;
+};
+
+std::string remoteAddress(const tcp::socket &Socket) {
+  error_code Error;
+  const tcp::endpoint Remote = Socket.remote_endpoint(Error);
+  return Error ? std::string("unknown") : Remote.address().to_string();
+}
+
 Task<void> handleRequest(std::shared_ptr<FrameWriter> Writer,
-                         const Handler &Handle, Message Request) {
-  const auto Id = Request.value("id", std::uint64_t(0));
-  Message Reply = co_await Handle(std::move(Request));
-  Reply["id"] = Id;
-  Writer->send(encodeFrame(Reply));
+                         std::shared_ptr<const Server> Config,
+                         Message Request) {
+  const auto Id = Request["id"].get<std::uint64_t>();
+  Expected<Message> Reply = co_await Config->Handle(std::move(Request));
+  if (!Reply) {
+    Config->OnRejection(remoteAddress(Writer->Socket), Reply.error());
+    Writer->close();
+    co_return;
+  }
+  Reply.value()["id"] = Id;
+  Writer->send(encodeFrame(Reply.value()));
 }
 
-Task<void> serveConnection(runtime::asio::io_context &Io, tcp::socket Socket,
-                           const Handler &Handle) {
+Task<void> serveConnection(tcp::socket Socket,
+                           std::shared_ptr<const Server> Config) {
   runtime::setSocketOptions(Socket);
-  const auto Writer = std::make_shared<FrameWriter>(Io, std::move(Socket));
+  const auto Writer =
+      std::make_shared<FrameWriter>(Config->Io, std::move(Socket));
   Message Request;
-  while (co_await readFrame(Writer->Socket, Request))
-    runtime::spawn(Io, handleRequest(Writer, Handle, std::move(Request)));
+  Failure Reason{FailureKind::Corrupt, ""};
+  ReadResult Read = ReadResult::Closed;
+  while ((Read = co_await readFrame(Writer->Socket, Request, Reason)) ==
+         ReadResult::Read)
+    runtime::spawn(Config->Io,
+                   handleRequest(Writer, Config, std::move(Request)));
+  if (Read == ReadResult::Invalid)
+    Config->OnRejection(remoteAddress(Writer->Socket), Reason);
   Writer->close();
 }
 
@@ -160,10 +189,13 @@
 Task<void> PeerChannel::readReplies(std::shared_ptr<Connection> Source) {
   const auto Self = shared_from_this();
   Message Reply;
-  while (co_await readFrame(Source->Writer->Socket, Reply)) {
+  // An invalid reply is reported to the pending requests as a lost one.
+  Failure Ignored{FailureKind::Corrupt, ""};
+  while (co_await readFrame(Source->Writer->Socket, Reply, Ignored) ==
+         ReadResult::Read) {
     ++Source->Received;
     const auto Found =
-        Source->PendingById.find(Reply.value("id", std::uint64_t(0)));
+        Source->PendingById.find(Reply["id"].get<std::uint64_t>());
     if (Found == Source->PendingById.end())
       continue;
     Found->second->Reply = std::move(Reply);
@@ -200,11 +232,12 @@
 }
 
 Expected<void> serve(runtime::asio::io_context &Io, tcp::endpoint Address,
-                     Handler Handle) {
-  return runtime::serve(
-      Io, Address, [&Io, Handle = std::move(Handle)](tcp::socket Socket) {
-        runtime::spawn(Io, serveConnection(Io, std::move(Socket), Handle));
-      });
+                     Handler Handle, RejectionHandler OnRejection) {
+  const auto Config = std::make_shared<const Server>(
+      Server{Io, std::move(Handle), std::move(OnRejection)});
+  return runtime::serve(Io, Address, [Config](tcp::socket Socket) {
+    runtime::spawn(Config->Io, serveConnection(std::move(Socket), Config));
+  });
 }
 
 } // namespace borageridge::peer
--- a/src/peer/PeerChannel.h
+++ b/src/peer/PeerChannel.h
@@ -3,10 +3,9 @@
 
 #include "borageridge/Failure.h"
 #include "borageridge/Types.h"
+#include "peer/Frame.h"
 #include "runtime/Async.h"
 
-#include <nlohmann/json.hpp>
-
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -15,10 +14,14 @@
 
 namespace borageridge::peer {
 
-using Message = nlohmann::json;
+/// Returns the reply to a request of another daemon. After a failure the
+/// connection is closed without a reply.
+using Handler = std::function<runtime::Task<Expected<Message>>(Message)>;
 
-/// Returns the reply to a request of another daemon.
-using Handler = std::function<runtime::Task<Message>(Message)>;
+/// Called with the sender's address before a connection is closed because of an
+/// invalid frame or a failure of the handler.
+using RejectionHandler =
+    std::function<void(const std::string &Sender, const Failure &Reason)>;
 
 /// Sends requests to one other daemon, multiplexed over one connection.
 class PeerChannel : public std::enable_shared_from_this<PeerChannel> {
@@ -47,7 +50,8 @@
 
 /// Serves requests of other daemons until the event loop stops.
 Expected<void> serve(runtime::asio::io_context &Io,
-                     runtime::tcp::endpoint Address, Handler Handle);
+                     runtime::tcp::endpoint Address, Handler Handle,
+                     RejectionHandler OnRejection);
 
 } // namespace borageridge::peer
 
--- a/src/runtime/Async.cpp
+++ b/src/runtime/Async.cpp
@@ -21,6 +21,17 @@
   });
 }
 
+void runUntilStopped(asio::io_context &Io,
+                     const std::function<void(std::string_view)> &OnError) {
+  while (!Io.stopped()) {
+    try {
+      Io.run();
+    } catch (const std::exception &Error) {
+      OnError(Error.what());
+    }
+  }
+}
+
 Task<void> sleepFor(Duration Delay) {
   asio::steady_timer Timer(co_await asio::this_coro::executor, Delay);
   error_code Ignored;
--- a/src/runtime/Async.h
+++ b/src/runtime/Async.h
@@ -8,6 +8,7 @@
 
 #include <boost/asio.hpp>
 
+#include <functional>
 #include <memory>
 #include <string_view>
 
@@ -22,6 +23,11 @@
 /// Io.run().
 void spawn(asio::io_context &Io, Task<void> Work);
 
+/// Runs the event loop until it is stopped. An exception that leaves a handler
+/// or a detached coroutine ends only that one; its text is passed to OnError.
+void runUntilStopped(asio::io_context &Io,
+                     const std::function<void(std::string_view)> &OnError);
+
 /// Suspends the calling coroutine for Delay.
 Task<void> sleepFor(Duration Delay);
 
--- a/src/runtime/Listener.cpp
+++ b/src/runtime/Listener.cpp
@@ -40,6 +40,41 @@
   }
 }
 
+Expected<std::shared_ptr<Listener>> Listener::open(asio::io_context &Io,
+                                                   tcp::endpoint Address,
+                                                   SocketHandler Handle) {
+  Expected<tcp::acceptor> Acceptor = listen(Io, Address);
+  if (!Acceptor)
+    return std::move(Acceptor).error();
+  const auto Result = std::make_shared<Listener>(std::move(Acceptor).value(),
+                                                 std::move(Handle));
+  spawn(Io, accept(Result));
+  return Result;
+}
+
+Task<void> Listener::accept(std::shared_ptr<Listener> Self) {
+  while (Self->Acceptor.is_open()) {
+    error_code Error;
+    tcp::socket Socket = co_await Self->Acceptor.async_accept(
+        asio::redirect_error(asio::use_awaitable, Error));
+    if (!Error)
+      Self->Handle(std::move(Socket));
+    else if (Self->Acceptor.is_open())
+      co_await sleepFor(AcceptRetryDelay);
+  }
+}
+
+void Listener::close() {
+  error_code Error;
+  Acceptor.non_blocking(true, Error);
+  while (!Error) {
+    tcp::socket Socket = Acceptor.accept(Error);
+    if (!Error)
+      Handle(std::move(Socket));
+  }
+  Acceptor.close(Error);
+}
+
 Expected<void> serve(asio::io_context &Io, tcp::endpoint Address,
                      SocketHandler Handle) {
   Expected<tcp::acceptor> Acceptor = listen(Io, Address);
