Choose connection holders by processor share, and exchange by need

Change: HolderTable keeps the holders incrementally, by weighted rendezvous hashing with the square of the processor share, which the settings state and the daemon's entry carries (entries without it count as a quarter of a core). Beyond 12 peers only three are queried in turn at each interval, besides those that hold the same services, have failed, or may have (an entry that vanished, a forwarded call that was lost). A watch of the configuration waits 2.5 s in fleets of up to 12 and in proportion beyond, at most 20 s, so that the fleet's calls stay flat; peers tell of newer versions. A daemon that stops or has no configuration yet says BUSY, not that the database is unknown.

--- a/src/cluster/HolderTable.cpp
+++ b/src/cluster/HolderTable.cpp
@@ -5,12 +5,13 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <utility>
 
 namespace borageridge::cluster {
 namespace {
 
-// Uniform in (0, 1). SHA-256 has no seed, so that all processes compute the same
-// number.
+// Uniform in (0, 1). SHA-256 has no seed, so that all processes compute the
+// same number.
 double uniformHash(std::string_view Daemon, std::string_view Service) {
   std::string Text(Service);
   Text.push_back('\0');
@@ -27,9 +28,12 @@
 
 } // namespace
 
+// The weight is the square of the processor share: every daemon also forwards
+// the sessions of its own callers, which leaves a small one less to spare than
+// in proportion to its share.
 double holderScore(const DaemonRecord &Daemon, std::string_view Service) {
-  const std::uint32_t Weight = std::max<std::uint32_t>(1, Daemon.Weight);
-  return -Weight / std::log(uniformHash(Daemon.Name, Service));
+  const double Share = std::max<std::uint32_t>(1, Daemon.ProcessorShare);
+  return -Share * Share / std::log(uniformHash(Daemon.Name, Service));
 }
 
 void HolderTable::enter(Zones &Selected, const DaemonRecord &Daemon,
@@ -44,7 +48,7 @@
   const auto Known = Daemons.find(Daemon.Name);
   if (Known != Daemons.end()) {
     const bool SameScore =
-        Known->second.Weight == Daemon.Weight &&
+        Known->second.ProcessorShare == Daemon.ProcessorShare &&
         Known->second.AvailabilityZone == Daemon.AvailabilityZone;
     if (SameScore)
       return;
--- a/src/cluster/HolderTable.h
+++ b/src/cluster/HolderTable.h
@@ -13,11 +13,12 @@
 
 /// The connection holders of each service, by weighted rendezvous hashing: in
 /// each availability zone the live daemon with the best score for the service.
-/// A daemon with twice the weight is chosen twice as often. The result depends
-/// only on the live daemons and is the same in every process that knows them.
+/// The result depends only on the live daemons and is the same in every process
+/// that knows them.
 ///
-/// A daemon that joins, leaves or changes its weight moves only the services
-/// that it gains or loses, and costs one score per known service.
+/// A daemon that joins, leaves or changes its processor share moves only the
+/// services that it gains or loses. Joining costs one score per known service;
+/// leaving, one per live daemon for each service that it held.
 class HolderTable {
 public:
   /// Adds a daemon, or replaces the one of the same name.
--- a/src/cluster/Records.cpp
+++ b/src/cluster/Records.cpp
@@ -48,7 +48,8 @@
               {"ip", Record.Ip},
               {"port", Record.PeerPort},
               {"availability_zone", Record.AvailabilityZone},
-              {"incarnation", Record.Incarnation}}
+              {"incarnation", Record.Incarnation},
+              {"processor_share", Record.ProcessorShare}}
       .dump();
 }
 
@@ -65,6 +66,8 @@
   Result.PeerPort = Object["port"].get<std::uint16_t>();
   Result.AvailabilityZone = Object["availability_zone"].get<std::string>();
   Result.Incarnation = Object["incarnation"].get<std::uint64_t>();
+  if (isInteger(Object, "processor_share"))
+    Result.ProcessorShare = Object["processor_share"].get<std::uint32_t>();
   return Result;
 }
 
--- a/src/cluster/Records.h
+++ b/src/cluster/Records.h
@@ -43,6 +43,11 @@
   std::string AvailabilityZone;
   /// Unique for each start of the daemon.
   std::uint64_t Incarnation = 0;
+  /// Processor share of the daemon in thousandths of a core.
+  std::uint32_t ProcessorShare = DefaultProcessorShare;
+
+  /// Of daemons whose entry does not state it.
+  static constexpr std::uint32_t DefaultProcessorShare = 250;
 
   friend bool operator==(const DaemonRecord &, const DaemonRecord &) = default;
 };
--- a/src/cluster/RecordsTest.cpp
+++ b/src/cluster/RecordsTest.cpp
@@ -9,6 +9,7 @@
   CPPUNIT_TEST_SUITE(RecordsTest);
   CPPUNIT_TEST(aGroupRecordIsRestoredByDecoding);
   CPPUNIT_TEST(aDaemonRecordIsRestoredByDecoding);
+  CPPUNIT_TEST(aDaemonRecordWithoutAProcessorShareHasTheDefault);
   CPPUNIT_TEST(malformedRecordsAreCorrupt);
   CPPUNIT_TEST_SUITE_END();
 
@@ -18,10 +19,19 @@
   }
 
   void aDaemonRecordIsRestoredByDecoding() {
-    const DaemonRecord Record{"entry-1", "10.1.0.8", 7440, "z1", 99};
+    const DaemonRecord Record{"entry-1", "10.1.0.8", 7440, "z1", 99, 120};
     CPPUNIT_ASSERT(decodeDaemon(encode(Record)).value() == Record);
   }
 
+  // Written by daemons of earlier versions.
+  void aDaemonRecordWithoutAProcessorShareHasTheDefault() {
+    const auto Record =
+        decodeDaemon(R"({"name":"a","ip":"b","port":1,"availability_zone":"z",)"
+                     R"("incarnation":2})");
+    CPPUNIT_ASSERT_EQUAL(DaemonRecord::DefaultProcessorShare + 0,
+                         Record.value().ProcessorShare);
+  }
+
   void malformedRecordsAreCorrupt() {
     for (const char *Json : {"", "[]", "{}", R"({"term":"3"})",
                              R"({"term":3,"primary":"a","changing":1})"}) {
--- a/src/entry/CallerConnection.cpp
+++ b/src/entry/CallerConnection.cpp
@@ -109,7 +109,7 @@
   const auto IsReady = [this] {
     return S.Loaded && (Forwarder == nullptr || bootTime() >= S.FleetKnownFrom);
   };
-  while (!IsReady() && bootTime() - Start < ConfigTimeout)
+  while (!IsReady() && !S.Stopping && bootTime() - Start < ConfigTimeout)
     co_await runtime::sleepFor(ConfigPollInterval);
   co_return S.StatementExecutor.route(CallerSession.Database);
 }
@@ -130,6 +130,11 @@
   }
   CallerSession.Database = Start->Database;
   const catalog::Route *Route = co_await waitForRoute();
+  if (Route == nullptr && !S.Loaded) {
+    co_await write(platform::encodeFatalError(
+        ErrorCode::Busy, "the configuration is not known yet"));
+    co_return false;
+  }
   if (Route == nullptr) {
     co_await write(platform::encodeFatalError(ErrorCode::UnknownDatabase,
                                               "no such database"));
@@ -199,6 +204,7 @@
     HolderState = Answer.value().State;
     co_return std::move(Answer).value();
   }
+  S.PeersToCheck.insert(Holder->member());
   const bool MayCommit = St.Kind == statement::StatementKind::Commit ||
                          (HolderState == statement::TransactionState::None &&
                           (St.Kind == statement::StatementKind::Write ||
--- a/src/entry/CallerConnectionTest.cpp
+++ b/src/entry/CallerConnectionTest.cpp
@@ -58,7 +58,7 @@
     Other.PeerPort = static_cast<std::uint16_t>(Holder.port() - 1);
     Other.AvailabilityZone = "z1";
     S.Daemons["entry-2"] = S.Peers["entry-2"].Record = Other;
-    S.DaemonsVersion = 1;
+    S.HolderRanking.add(Other);
     S.Holders["db"] = {"entry-2"};
     connect();
     CPPUNIT_ASSERT_EQUAL(std::string("READY I -\r\n"), ask(Start));
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -4,6 +4,7 @@
 #include "runtime/Clock.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace borageridge::entry {
 namespace {
@@ -15,9 +16,11 @@
 // Reports of peers that are queried at each interval are at most this interval
 // plus one round trip old.
 constexpr Duration Interval = std::chrono::milliseconds(250);
-// With n times as many peers, each is queried at every nth interval, so that
-// the cost per daemon does not grow with the number of daemons.
-constexpr std::size_t PeersPerInterval = 12;
+// In a larger fleet, only peers whose state is urgent are queried at each
+// interval, and the others in turn, so that the cost of a daemon does not grow
+// with the fleet. News still reach 300 daemons in about five intervals.
+constexpr std::size_t MaxPeersForFullExchange = 12;
+constexpr std::size_t PeersInTurnPerInterval = 3;
 constexpr Duration QueryTimeout = std::chrono::milliseconds(600);
 // Reports that are older than this are used neither for the statements in
 // flight nor for the choice of a peer that relays calls to the store.
@@ -30,7 +33,9 @@
 constexpr Duration MaxRelayTime = std::chrono::seconds(35);
 
 std::size_t intervalFactor(std::size_t Peers) {
-  return std::max<std::size_t>(1, Peers / PeersPerInterval);
+  return Peers <= MaxPeersForFullExchange
+             ? 1
+             : std::max<std::size_t>(1, Peers / PeersInTurnPerInterval);
 }
 
 peer::EncodedRecord encodeRecord(const std::string &Service,
@@ -47,21 +52,17 @@
 
 } // namespace
 
-// With more than PeersPerInterval peers, a connection holder queries the other
-// holders of its services at each interval, and the active coordinator queries
-// all connection holders. Reports of other peers are not urgent.
-bool Exchange::isQueriedAtEachInterval(const std::string &Name) const {
-  if (S.Peers.size() <= PeersPerInterval)
-    return true;
+// The state of a peer is urgent for a connection holder if the peer holds one
+// of the same services, and for the active coordinator if it holds any. A peer
+// that has failed, or may have, is queried to find out whether it answers.
+std::set<std::string> Exchange::urgentPeers() {
+  std::set<std::string> Result = std::exchange(S.PeersToCheck, {});
   const bool Coordinates = S.Promoter.Value == S.Settings.InstanceName;
-  for (const auto &[Service, Holders] : S.Holders) {
-    const auto Holds = [&, &Names = Holders](const std::string &Daemon) {
-      return std::find(Names.begin(), Names.end(), Daemon) != Names.end();
-    };
-    if (Holds(Name) && (Coordinates || Holds(S.Settings.InstanceName)))
-      return true;
-  }
-  return false;
+  for (const auto &[Service, Holders] : S.Holders)
+    if (Coordinates || std::find(Holders.begin(), Holders.end(),
+                                 S.Settings.InstanceName) != Holders.end())
+      Result.insert(Holders.begin(), Holders.end());
+  return Result;
 }
 
 Task<void> Exchange::run() {
@@ -69,11 +70,12 @@
     if (S.Peers.empty())
       addSeedPeers();
     const std::size_t Factor = intervalFactor(S.Peers.size());
+    const std::set<std::string> Urgent = urgentPeers();
     std::size_t Index = 0;
     for (const auto &[Name, Other] : S.Peers) {
       const bool IsDue = (Index + Round) % Factor == 0;
       ++Index;
-      if (IsDue || Other.Unreachable || isQueriedAtEachInterval(Name))
+      if (IsDue || Other.Unreachable || Urgent.contains(Name))
         runtime::spawn(S.Io, queryPeer(Name));
     }
     updatePeerLoad(bootTime());
@@ -194,7 +196,8 @@
   }
   S.Shared.LiveDaemons = Live;
   for (const auto &[Name, Pool] : S.ByService)
-    Pool->setOthersInFlight(Sum);
+    if (Pool->isConnectionHolder())
+      Pool->setOthersInFlight(Sum);
 }
 
 peer::StateReport Exchange::report(Time Now) const {
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -4,6 +4,9 @@
 #include "entry/State.h"
 #include "peer/Messages.h"
 
+#include <set>
+#include <string>
+
 namespace borageridge::entry {
 
 /// Exchanges state with the other daemons: group records, log positions, for
@@ -36,7 +39,7 @@
   Duration slowestInterval() const;
 
 private:
-  bool isQueriedAtEachInterval(const std::string &Name) const;
+  std::set<std::string> urgentPeers();
   runtime::Task<void> queryPeer(std::string Name);
   void applyReport(Peer &From, const peer::StateReport &Answer,
                    Time RequestedAt, Time Now);
--- a/src/entry/ExchangeTest.cpp
+++ b/src/entry/ExchangeTest.cpp
@@ -26,8 +26,11 @@
   CPPUNIT_TEST(countsADaemonThatIsAlsoASeedOnce);
   CPPUNIT_TEST(peerRemovedBeforeItsQueryIsNotAddedAgain);
   CPPUNIT_TEST(seedThatIsNotYetKnownAsADaemonIsQueriedButNotCounted);
+  CPPUNIT_TEST(queriesFewPeersOfALargeFleetAtEachInterval);
+  CPPUNIT_TEST(queriesAPeerThatMayHaveFailedAtTheNextInterval);
   CPPUNIT_TEST_SUITE_END();
 
+  int Queries = 0;
   State S{Io, settings(), runtime::tcp::endpoint(), Log};
   Exchange Subject{S};
 
@@ -159,6 +162,43 @@
     CPPUNIT_ASSERT(S.Peers.empty());
   }
 
+  /// Adds peers that share one server; Queries counts their requests.
+  void addFleet(int Size) {
+    const std::uint16_t Port = freePort();
+    const auto Bound = peer::serve(
+        Io, {runtime::asio::ip::address_v4::loopback(), Port},
+        [this](Message) -> runtime::Task<Expected<Message>> {
+          ++Queries;
+          Message Report = {{"config", 1}};
+          co_return Report;
+        },
+        ignoreRejection);
+    CPPUNIT_ASSERT(Bound.has_value());
+    for (int I = 0; I < Size; ++I)
+      addPeer("entry-" + std::to_string(100 + I), Port);
+  }
+
+  // Load pattern: a fleet of three hundred, in which each exchange of reports
+  // costs both daemons processor time.
+  void queriesFewPeersOfALargeFleetAtEachInterval() {
+    addFleet(300);
+    runtime::spawn(Io, Subject.run());
+    runLoopFor(milliseconds(1100));
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(Queries),
+                           Queries >= 12 && Queries <= 20);
+  }
+
+  void queriesAPeerThatMayHaveFailedAtTheNextInterval() {
+    addFleet(300);
+    addPeer("entry-150b", freePort());
+    runtime::spawn(Io, Subject.run());
+    runLoopFor(milliseconds(100));
+    CPPUNIT_ASSERT(!S.Peers["entry-150b"].Unreachable);
+    S.PeersToCheck.insert("entry-150b");
+    runLoopFor(milliseconds(350));
+    CPPUNIT_ASSERT(S.Peers["entry-150b"].Unreachable);
+  }
+
   void seedThatIsNotYetKnownAsADaemonIsQueriedButNotCounted() {
     S.Settings.SeedIps = {"127.0.0.1"};
     serveReports("127.0.0.1");
--- a/src/entry/Forwarding.cpp
+++ b/src/entry/Forwarding.cpp
@@ -39,26 +39,6 @@
                      });
 }
 
-const Forwarding::HolderSelection &
-Forwarding::selectHolders(const std::string &Service) {
-  if (SelectionsVersion != S.DaemonsVersion)
-    Selections.clear();
-  SelectionsVersion = S.DaemonsVersion;
-  const auto [Found, New] = Selections.try_emplace(Service);
-  if (!New)
-    return Found->second;
-  std::vector<cluster::DaemonRecord> Live;
-  Live.reserve(S.Daemons.size());
-  for (const auto &[Name, D] : S.Daemons)
-    Live.push_back(D);
-  Found->second.Holders = cluster::connectionHolders(Live, Service);
-  for (const std::string &Name : cluster::rankConnectionHolders(
-           Live, Service, S.Settings.AvailabilityZone))
-    if (contains(Found->second.Holders, Name))
-      Found->second.ByPreference.push_back(Name);
-  return Found->second;
-}
-
 void Forwarding::tick() {
   const bool FleetKnown = bootTime() >= S.FleetKnownFrom;
   for (const auto &[Service, Pool] : S.ByService) {
@@ -72,7 +52,7 @@
       S.Holders.erase(Service);
       continue;
     }
-    const std::vector<std::string> &Holders = selectHolders(Service).Holders;
+    const std::vector<std::string> Holders = S.HolderRanking.holders(Service);
     Pool->setConnectionHolder(contains(Holders, S.Settings.InstanceName),
                               std::max<std::size_t>(1, Holders.size()));
     if (S.Holders[Service] != Holders)
@@ -85,7 +65,7 @@
   if (!S.Holders.contains(Service))
     co_return nullptr;
   const std::vector<std::string> ByPreference =
-      selectHolders(Service).ByPreference;
+      S.HolderRanking.byPreference(Service, S.Settings.AvailabilityZone);
   unsigned Tries = 0;
   for (const std::string &Name : ByPreference) {
     if (Name == S.Settings.InstanceName || Tries == MaxTries)
--- a/src/entry/Forwarding.h
+++ b/src/entry/Forwarding.h
@@ -33,19 +33,7 @@
                                               std::string Database);
 
 private:
-  struct HolderSelection {
-    /// One daemon per availability zone.
-    std::vector<std::string> Holders;
-    /// The holders by preference, that of this availability zone first.
-    std::vector<std::string> ByPreference;
-  };
-  const HolderSelection &selectHolders(const std::string &Service);
-
   State &S;
-  /// Cached selections by service, valid while State::DaemonsVersion equals
-  /// SelectionsVersion.
-  std::map<std::string, HolderSelection> Selections;
-  std::uint64_t SelectionsVersion = 0;
   /// By name, until when daemons that did not accept a session are skipped.
   std::map<std::string, Time> AvoidUntil;
 };
--- a/src/entry/Registration.cpp
+++ b/src/entry/Registration.cpp
@@ -51,6 +51,7 @@
   Self.PeerPort = S.Settings.PeerPort;
   Self.AvailabilityZone = S.Settings.AvailabilityZone;
   Self.Incarnation = S.Incarnation;
+  Self.ProcessorShare = S.Settings.ProcessorShare;
   keyvalue::Transaction Entry;
   Entry.Puts.push_back({std::string(cluster::DaemonPrefix) + Self.Name,
                         cluster::encode(Self), Grant.value().Id});
--- a/src/entry/State.h
+++ b/src/entry/State.h
@@ -3,6 +3,7 @@
 
 #include "catalog/Catalog.h"
 #include "change/ChangePolicy.h"
+#include "cluster/HolderTable.h"
 #include "cluster/LocalLease.h"
 #include "cluster/Records.h"
 #include "entry/EntryMetrics.h"
@@ -17,6 +18,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -74,8 +76,8 @@
   std::map<std::string, Peer> Peers;
   /// Daemons that hold a lease, including this one, by name.
   std::map<std::string, cluster::DaemonRecord> Daemons;
-  /// Incremented on each change of Daemons.
-  std::uint64_t DaemonsVersion = 0;
+  /// Selects the connection holders among Daemons.
+  cluster::HolderTable HolderRanking;
   /// The connection holders of a service: the daemons that keep connections to
   /// its members while the others forward sessions to them. Contains only
   /// services for which not all daemons are holders.
@@ -85,6 +87,8 @@
   /// Daemons that became unreachable and whose forwarded sessions have not been
   /// closed yet.
   std::vector<std::string> UnreachablePeers;
+  /// Daemons that may have failed, to be queried at the next interval.
+  std::set<std::string> PeersToCheck;
   /// Newest version of the configuration that a peer has reported.
   std::uint64_t NewestConfigSeen = 0;
   /// Whether configuration, members and daemons have been read once.
--- a/src/entry/StoreView.cpp
+++ b/src/entry/StoreView.cpp
@@ -1,5 +1,6 @@
 #include "entry/StoreView.h"
 
+#include "cluster/WatchTime.h"
 #include "entry/Events.h"
 #include "platform/Registry.h"
 #include "runtime/Clock.h"
@@ -19,8 +20,6 @@
 // with the connection, peers still send newer group records, and live daemons
 // still renew their leases.
 constexpr Duration LongWatchTimeout = std::chrono::seconds(10);
-// Half of the time within which a new configuration must be applied.
-constexpr Duration ShortWatchTimeout = std::chrono::milliseconds(2500);
 // Smallest fleet in which long watches are used.
 constexpr std::size_t MinDaemonsForLongWatch = 3;
 constexpr Duration PeerConfigInterval = std::chrono::milliseconds(100);
@@ -116,10 +115,15 @@
       Complete = true;
       updateLoaded(bootTime());
     }
-    const bool UseLongWatch = Prefix == cluster::KeyPrefix &&
-                              S.Store.isReachable(bootTime()) &&
-                              S.Shared.LiveDaemons >= MinDaemonsForLongWatch;
-    const Duration Wait = UseLongWatch ? LongWatchTimeout : ShortWatchTimeout;
+    // Peers tell of what is missed; without them, or through a peer, only a
+    // short watch notices a lost answer in time.
+    const bool HasPeers = S.Store.isReachable(bootTime()) &&
+                          S.Shared.LiveDaemons >= MinDaemonsForLongWatch;
+    const Duration ConfigTime =
+        cluster::configWatchTime(HasPeers ? S.Shared.LiveDaemons : 1);
+    const Duration Wait = HasPeers && Prefix == cluster::KeyPrefix
+                              ? std::max(LongWatchTimeout, ConfigTime)
+                              : ConfigTime;
     Expected<keyvalue::WatchResult> Seen =
         co_await S.Store.watch(std::string(Prefix), At, Wait);
     const Time Now = bootTime();
@@ -320,7 +324,9 @@
 void StoreView::applyDaemon(const Change &Seen) {
   const std::string Name(suffix(Seen.Written.Key, cluster::DaemonPrefix));
   if (Seen.Removed) {
-    S.DaemonsVersion += S.Daemons.erase(Name);
+    S.Daemons.erase(Name);
+    S.HolderRanking.remove(Name);
+    S.PeersToCheck.insert(Name);
     return;
   }
   const Expected<cluster::DaemonRecord> Record =
@@ -330,7 +336,7 @@
     return;
   }
   S.Daemons[Name] = Record.value();
-  ++S.DaemonsVersion;
+  S.HolderRanking.add(Record.value());
   if (Name == S.Settings.InstanceName)
     return;
   Peer &Other = S.Peers[Name];
--- a/src/instance/DaemonSettings.h
+++ b/src/instance/DaemonSettings.h
@@ -31,6 +31,8 @@
   Duration StopLimit = std::chrono::seconds(6);
   /// Time after which a leaving member must not receive any more requests.
   Duration LeaveLimit = std::chrono::seconds(7);
+  /// Thousandths of a processor core that the daemon may use.
+  std::uint32_t ProcessorShare = 250;
   /// Number of file descriptors available for sockets.
   std::uint32_t MaxSockets = 1024;
 };
