--- a/src/cluster/HolderTable.cpp
+++ b/src/cluster/HolderTable.cpp
@@ -98,6 +98,7 @@
                               : A.second.Score > B.second.Score;
   });
   std::vector<std::string> Result;
+  Result.reserve(Order.size());
   for (const auto &[IsRemote, Holder] : Order)
     Result.push_back(Holder.Name);
   return Result;
