Let a session that ends after its daemon not touch it

Cause: the removal of a session from the daemon's set ran when the event loop was destroyed, after the daemon; with the stop's test failing by a planted fault, the test program crashed (segmentation fault) instead of reporting the failure. Change: the session shares the set. Measured: with the fault planted (listeners left open, sessions wait for the configuration while stopping) connectionsAcceptedUntilTheEndOfAStopAreAnswered fails and 88 pass; without it 89 of 89 pass.

--- a/src/entry/Daemon.cpp
+++ b/src/entry/Daemon.cpp
@@ -93,7 +93,7 @@
       Io, Address, [this, Forwarder](tcp::socket Socket) {
         const auto Caller =
             std::make_shared<CallerConnection>(S, std::move(Socket), Forwarder);
-        Callers.insert(Caller);
+        Callers->insert(Caller);
         runtime::spawn(Io, serveCaller(Caller));
       });
   if (!Open)
@@ -159,15 +159,16 @@
     Connections += Pool->openConnections();
     Opened += Pool->connectionsOpened();
   }
-  S.Metrics.setState(S.StatementExecutor.catalog().Version, Callers.size(),
+  S.Metrics.setState(S.StatementExecutor.catalog().Version, Callers->size(),
                      Waiting, Connections, S.Store.calls(), Opened);
   return {200, S.Metrics.text(), "text/plain; version=0.0.4"};
 }
 
 Task<void> Daemon::serveCaller(std::shared_ptr<CallerConnection> Caller) {
-  // Also if an exception ends the session.
+  // Also if an exception ends the session, or if the event loop is destroyed
+  // after the daemon.
   const std::shared_ptr<void> Removal(
-      nullptr, [this, Caller](void *) { Callers.erase(Caller); });
+      nullptr, [Open = Callers, Caller](void *) { Open->erase(Caller); });
   co_await Caller->run();
 }
 
@@ -194,14 +195,14 @@
 Task<void> Daemon::rebalance() {
   for (;;) {
     co_await runtime::sleepFor(RebalanceInterval);
-    const auto Open = S.Stopping ? decltype(Callers)() : Callers;
+    const auto Open = S.Stopping ? CallerSet() : *Callers;
     for (const auto &Caller : Open)
       Caller->closeIfHeldElsewhere();
   }
 }
 
 void Daemon::closeSessionsOfUnreachablePeers() {
-  const auto Open = S.UnreachablePeers.empty() ? decltype(Callers)() : Callers;
+  const auto Open = S.UnreachablePeers.empty() ? CallerSet() : *Callers;
   for (const std::string &Name : std::exchange(S.UnreachablePeers, {}))
     for (const auto &Caller : Open)
       Caller->closeIfHeldBy(Name);
@@ -231,11 +232,11 @@
 Task<void> Daemon::stop() {
   const Time Start = bootTime();
   S.Stopping = true;
-  Log.write(event::Draining, Callers.size());
+  Log.write(event::Draining, Callers->size());
   runtime::spawn(Io, ChangeCoordinator.resign("stopping"));
   StopPlan Plan(Start, S.Settings.StopLimit);
   for (StopPhase Phase = StopPhase::Announce; Phase != StopPhase::End;) {
-    Phase = Plan.update(bootTime(), Callers.size());
+    Phase = Plan.update(bootTime(), Callers->size());
     if (Phase == StopPhase::Finish)
       closeCallerListeners();
     if (Phase == StopPhase::Drain || Phase == StopPhase::Finish)
@@ -246,7 +247,7 @@
   // waits only briefly for the store's answer.
   runtime::spawn(Io, Registrar.release());
   co_await runtime::sleepFor(LeaseReleaseTime);
-  Log.write(event::Stopped, Callers.size(),
+  Log.write(event::Stopped, Callers->size(),
             runtime::toMilliseconds(bootTime() - Start));
   Io.stop();
 }
@@ -257,7 +258,7 @@
 }
 
 void Daemon::closeCallers(bool EndTransactions) {
-  const auto Open = Callers;
+  const CallerSet Open = *Callers;
   for (const auto &Caller : Open)
     if (Caller->isIdle() ||
         (EndTransactions && Caller->isInTransaction() && !Caller->isWorking()))
--- a/src/entry/Daemon.h
+++ b/src/entry/Daemon.h
@@ -35,6 +35,8 @@
   Expected<void> start(std::uint16_t MetricsPort);
 
 private:
+  using CallerSet = std::set<std::shared_ptr<CallerConnection>>;
+
   Expected<void> listen(std::uint16_t MetricsPort);
   Expected<void> listenForCallers(runtime::tcp::endpoint Address,
                                   Forwarding *Forwarder);
@@ -60,7 +62,7 @@
   Exchange PeerExchange;
   Coordinator ChangeCoordinator;
   Forwarding SessionForwarding;
-  std::set<std::shared_ptr<CallerConnection>> Callers;
+  std::shared_ptr<CallerSet> Callers = std::make_shared<CallerSet>();
   /// Listeners for callers and for forwarded sessions; empty once closed.
   std::vector<std::shared_ptr<runtime::Listener>> CallerListeners;
   LogRateLimiter RejectionLog;
