Choose the ports of the daemon test when it starts

CppUnit constructs all fixtures first, so the ports were chosen long before they were used, and a second port was assumed to be free beside the peer port. Change: the ports are chosen in setUp, with further tries if one is taken meanwhile.

--- a/src/entry/DaemonTest.cpp
+++ b/src/entry/DaemonTest.cpp
@@ -30,11 +30,12 @@
   CPPUNIT_TEST_SUITE_END();
 
   platform::FakeStore Store{Io};
-  std::uint16_t CallerPort = freePort();
-  std::uint16_t ReadinessPort = freePort();
-  std::uint16_t MetricsPort = freePort();
-  std::uint16_t PeerPort = freePort();
-  std::unique_ptr<Daemon> Subject;
+  std::uint16_t CallerPort = 0;
+  std::uint16_t ReadinessPort = 0;
+  std::uint16_t MetricsPort = 0;
+  std::uint16_t PeerPort = 0;
+  /// The last one has started; the others found a port in use.
+  std::vector<std::unique_ptr<Daemon>> Daemons;
   std::vector<std::string> Errors;
 
   std::uint16_t freePort() {
@@ -45,19 +46,33 @@
   }
 
 public:
+  // A port that was free may be taken by another process before the daemon
+  // listens on it.
   void setUp() override {
+    constexpr int MaxTries = 10;
+    for (int Try = 0; Try < MaxTries; ++Try)
+      if (start())
+        return;
+    CPPUNIT_FAIL("no free ports");
+  }
+
+private:
+  bool start() {
+    CallerPort = freePort();
+    ReadinessPort = freePort();
+    MetricsPort = freePort();
+    PeerPort = freePort();
     instance::DaemonSettings Given = settings();
     const std::string Ip = "127.0.0.1";
     Given.Ip = Ip;
     Given.CallerAddress = Ip + ":" + std::to_string(CallerPort);
     Given.ReadinessAddress = Ip + ":" + std::to_string(ReadinessPort);
     Given.PeerPort = PeerPort;
-    Subject = std::make_unique<Daemon>(Io, Given, Store.address(),
-                                       tcp::endpoint(), 1, Log);
-    CPPUNIT_ASSERT(Subject->start(MetricsPort).has_value());
+    Daemons.push_back(std::make_unique<Daemon>(Io, Given, Store.address(),
+                                               tcp::endpoint(), 1, Log));
+    return Daemons.back()->start(MetricsPort).has_value();
   }
 
-private:
   static void unavailable(platform::FakeStore &Target) {
     Target.Intercept = [](const http::Request &) {
       return std::optional(http::Response{503, "{}"});
