Read the era of the store, and log what tells the hypotheses apart

Change: the header Store-Era is read from every answer, also through the relay, and is used for logs only; config_applied tells revision and era, config_skipped and store_restored are new.

--- a/src/entry/Events.cpp
+++ b/src/entry/Events.cpp
@@ -6,9 +6,9 @@
   using namespace event;
   return telemetry::describeAll(
       Started, Ready, Draining, Stopped, SettingsReloaded, StartFailed,
-      ConfigApplied, EntryIgnored, RecordApplied, MemberLeaving,
+      ConfigApplied, ConfigSkipped, EntryIgnored, RecordApplied, MemberLeaving,
       MemberSuspected, MemberRecovered, ConnectionRefused, StoreLost,
-      StoreRegained, LeaseGranted, LeaseLost, PeerLost, PeerSeen,
+      StoreRegained, StoreRestored, LeaseGranted, LeaseLost, PeerLost, PeerSeen,
       PeerMessageRejected, TaskFailed, DutyTaken, DutyLost, ChangeStarted,
       ChangeStep, ChangeCompleted, ChangeFailed, UseRelinquished,
       RequestRefused, RequestRetried, LinesSuppressed);
--- a/src/entry/Events.h
+++ b/src/entry/Events.h
@@ -33,8 +33,14 @@
     "start_failed", LogLevel::Error, {"part", "detail"}};
 
 // Configuration, members, the store and peers.
-inline constexpr EventType<Number, Number, Number> ConfigApplied{
-    "config_applied", LogLevel::Info, {"version", "routes", "services"}};
+inline constexpr EventType<Number, Number, Number, Number, Number>
+    ConfigApplied{"config_applied",
+                  LogLevel::Info,
+                  {"version", "routes", "services", "revision", "store_era"}};
+inline constexpr EventType<Number, Number, Number> ConfigSkipped{
+    "config_skipped",
+    LogLevel::Warning,
+    {"revision", "store_era", "applied_revision"}};
 inline constexpr EventType<Text, Text> EntryIgnored{
     "entry_ignored", LogLevel::Warning, {"key", "detail"}};
 inline constexpr EventType<Text, Number, Number, Text, bool> RecordApplied{
@@ -53,6 +59,8 @@
     "store_lost", LogLevel::Warning, {"call", "failure"}};
 inline constexpr EventType<Number> StoreRegained{
     "store_regained", LogLevel::Info, {"outage_ms"}};
+inline constexpr EventType<Number, Number> StoreRestored{
+    "store_restored", LogLevel::Warning, {"store_era", "former_era"}};
 inline constexpr EventType<Number> LeaseGranted{
     "lease_granted", LogLevel::Info, {"lease"}};
 inline constexpr EventType<Text> LeaseLost{
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -1,6 +1,7 @@
 #include "entry/Exchange.h"
 
 #include "entry/Events.h"
+#include "platform/StoreApi.h"
 #include "runtime/Clock.h"
 
 #include <algorithm>
@@ -263,6 +264,7 @@
   peer::RelayReply Reply;
   if (Answer) {
     Reply.Status = Answer.value().Status;
+    Reply.StoreEra = platform::storeEra(Answer.value());
     Reply.Body = std::move(Answer.value().Body);
   } else {
     Reply.NotExecuted = Answer.error().Kind == FailureKind::Unavailable;
@@ -302,6 +304,8 @@
   http::Response Result;
   Result.Status = *Reply.value().Status;
   Result.Body = std::move(Reply.value().Body);
+  if (Reply.value().StoreEra != 0)
+    platform::setStoreEra(Result, Reply.value().StoreEra);
   co_return Result;
 }
 
--- a/src/entry/StoreView.cpp
+++ b/src/entry/StoreView.cpp
@@ -276,8 +276,12 @@
 }
 
 void StoreView::applyConfig(const Item &Written) {
-  if (Written.ModRevision <= ConfigRevision)
+  if (Written.ModRevision <= ConfigRevision) {
+    if (Written.ModRevision < ConfigRevision)
+      S.Log.write(event::ConfigSkipped, Written.ModRevision, S.Store.era(),
+                  ConfigRevision);
     return;
+  }
   Expected<catalog::Catalog> Config = platform::decodeCatalog(Written.Value);
   if (!Config) {
     S.Log.write(event::EntryIgnored, Written.Key, Config.error().Detail);
@@ -288,7 +292,8 @@
   if (Newer.Version < S.StatementExecutor.catalog().Version)
     return;
   S.Log.write(event::ConfigApplied, Newer.Version,
-              Newer.RoutesByDatabase.size(), Newer.Services.size());
+              Newer.RoutesByDatabase.size(), Newer.Services.size(),
+              Written.ModRevision, S.Store.era());
   for (const auto &[Name, Spec] : Newer.Services) {
     auto &Pool = S.ByService[Name];
     if (!Pool) {
@@ -360,6 +365,11 @@
 }
 
 void StoreView::tick(Time Now) {
+  if (const keyvalue::Era Seen = S.Store.era(); Seen != LoggedEra) {
+    if (LoggedEra != 0)
+      S.Log.write(event::StoreRestored, Seen, LoggedEra);
+    LoggedEra = Seen;
+  }
   for (auto It = S.RemovedMembers.begin(); It != S.RemovedMembers.end();) {
     if (Now - It->second < RemovalGracePeriod || StoreUnreachableSince) {
       if (StoreUnreachableSince)
--- a/src/entry/StoreView.h
+++ b/src/entry/StoreView.h
@@ -44,6 +44,7 @@
   bool FleetLoaded = false;
   bool MembersLoaded = false;
   keyvalue::Revision ConfigRevision = 0;
+  keyvalue::Era LoggedEra = 0;
   cluster::EntryTracker MemberEntries;
   bool MembersChanged = false;
   std::optional<Time> StoreUnreachableSince;
--- a/src/http/Http.h
+++ b/src/http/Http.h
@@ -19,6 +19,8 @@
   unsigned Status = 0;
   std::string Body;
   std::string ContentType = "application/json";
+  /// Other headers. Names are not case-sensitive.
+  std::vector<std::pair<std::string, std::string>> Headers = {};
 };
 
 } // namespace borageridge::http
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -114,6 +114,8 @@
   Response Result;
   Result.Status = Parser.get().result_int();
   Result.Body = std::move(Parser.get().body());
+  for (const auto &Field : Parser.get())
+    Result.Headers.emplace_back(Field.name_string(), Field.value());
   if (!Parser.get().keep_alive()) {
     error_code Ignored;
     Conn.Socket.close(Ignored);
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -35,6 +35,8 @@
   Reply.version(Message.version());
   Reply.result(Result.Status);
   Reply.set(beast::http::field::content_type, Result.ContentType);
+  for (const auto &[Name, Value] : Result.Headers)
+    Reply.set(Name, Value);
   Reply.body() = std::move(Result.Body);
   Reply.keep_alive(Message.keep_alive());
   Reply.prepare_payload();
--- a/src/keyvalue/KeyValue.h
+++ b/src/keyvalue/KeyValue.h
@@ -8,8 +8,13 @@
 
 namespace borageridge::keyvalue {
 
-/// Number of changes made to the store so far; 0 means none.
+/// Number of changes made to the store so far; 0 means none. After the store
+/// was restored from an older copy, revisions are assigned again, so they order
+/// writes only within one era.
 using Revision = std::uint64_t;
+/// Increases each time the store is restored from an older copy; 0 if the store
+/// has not stated it.
+using Era = std::uint64_t;
 using LeaseId = std::uint64_t;
 
 enum class ReadMode {
--- a/src/keyvalue/StoreClient.cpp
+++ b/src/keyvalue/StoreClient.cpp
@@ -3,6 +3,7 @@
 #include "platform/StoreApi.h"
 #include "runtime/Clock.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace borageridge::keyvalue {
@@ -45,6 +46,10 @@
          runtime::bootTime() - Start < Timeout);
 }
 
+void StoreClient::observeEra(const http::Response &Response) {
+  CurrentEra = std::max(CurrentEra, platform::storeEra(Response));
+}
+
 Task<Expected<http::Response>> StoreClient::callDirectly(http::Request Request,
                                                          Duration Timeout) {
   co_return co_await send(Direct, std::move(Request), Timeout);
@@ -59,6 +64,8 @@
   Expected<http::Response> Response =
       co_await Client.send(std::move(Request), Timeout);
   const Time Now = runtime::bootTime();
+  if (Response)
+    observeEra(Response.value());
   if (Response && !isRejection(Response.value())) {
     LastSuccess = Now;
     DirectRetryTime = Time();
@@ -70,6 +77,15 @@
   co_return Response;
 }
 
+Task<Expected<http::Response>> StoreClient::relay(http::Request Request,
+                                                  Duration Timeout) {
+  Expected<http::Response> Response =
+      co_await RelayRequest(std::move(Request), Timeout);
+  if (Response)
+    observeEra(Response.value());
+  co_return Response;
+}
+
 // After a direct request has failed, only an idempotent request is retried
 // through the relay: if the answer to a transaction is lost, the caller must
 // find out whether it took effect before sending it again. A request that the
@@ -81,7 +97,7 @@
                                                     bool Idempotent) {
   const bool UseRelay = runtime::bootTime() < DirectRetryTime;
   if (RelayRequest && UseRelay) {
-    Expected<http::Response> Response = co_await RelayRequest(Request, Timeout);
+    Expected<http::Response> Response = co_await relay(Request, Timeout);
     const bool OutcomeFinal =
         Response ? !isRejection(Response.value())
                  : Response.error().Kind == FailureKind::Unknown;
@@ -93,7 +109,7 @@
   const bool Failed = !Response || isRejection(Response.value());
   if (!RelayRequest || !Failed || !Idempotent)
     co_return Response;
-  co_return co_await RelayRequest(std::move(Request), Timeout);
+  co_return co_await relay(std::move(Request), Timeout);
 }
 
 Task<Expected<RangePage>> StoreClient::range(std::string Prefix,
--- a/src/keyvalue/StoreClient.h
+++ b/src/keyvalue/StoreClient.h
@@ -50,6 +50,9 @@
 
   /// Whether the store recently answered a request sent directly.
   bool isReachable(Time Now) const;
+
+  /// The newest era in which the store has answered, also through the relay.
+  Era era() const { return CurrentEra; }
   std::uint64_t calls() const { return RequestCount; }
 
 private:
@@ -61,11 +64,17 @@
   runtime::Task<Expected<http::Response>>
   send(http::HttpClient &Client, http::Request Request, Duration Timeout);
 
+  runtime::Task<Expected<http::Response>> relay(http::Request Request,
+                                                Duration Timeout);
+
   http::HttpClient Direct;
   /// Separate from Direct, so that watches can be aborted when another request
   /// fails.
   http::HttpClient Watches;
   Relay RelayRequest;
+  void observeEra(const http::Response &Response);
+
+  Era CurrentEra = 0;
   Time LastSuccess;
   Time DirectRetryTime;
   std::uint64_t RequestCount = 0;
--- a/src/keyvalue/StoreClientTest.cpp
+++ b/src/keyvalue/StoreClientTest.cpp
@@ -29,6 +29,7 @@
   CPPUNIT_TEST(waitEndsAtTheTimeout);
   CPPUNIT_TEST(failedRequestAbortsWatches);
   CPPUNIT_TEST(staleReadIsMarkedInTheRequest);
+  CPPUNIT_TEST(knowsTheEraOfDirectAndOfRelayedAnswers);
   CPPUNIT_TEST_SUITE_END();
 
   runtime::asio::io_context Io;
@@ -167,6 +168,23 @@
     CPPUNIT_ASSERT(*Ended - Start < std::chrono::seconds(2));
   }
 
+  void knowsTheEraOfDirectAndOfRelayedAnswers() {
+    CPPUNIT_ASSERT_EQUAL(Era(0), Client.era());
+    CPPUNIT_ASSERT(run(Client.range("a")).has_value());
+    CPPUNIT_ASSERT_EQUAL(Era(1), Client.era());
+    Store.Intercept = unavailable;
+    Client.setRelay(
+        [](http::Request, Duration) -> Task<Expected<http::Response>> {
+          http::Response Answer;
+          Answer.Status = 200;
+          Answer.Body = R"({"items":[],"has_more":false,"store_revision":7})";
+          platform::setStoreEra(Answer, 2);
+          co_return Answer;
+        });
+    CPPUNIT_ASSERT(run(Client.range("a")).has_value());
+    CPPUNIT_ASSERT_EQUAL(Era(2), Client.era());
+  }
+
   void staleReadIsMarkedInTheRequest() {
     CPPUNIT_ASSERT(run(Client.range("a", ReadMode::AllowStale)).has_value());
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Store.count("serializable=1"));
--- a/src/peer/Messages.cpp
+++ b/src/peer/Messages.cpp
@@ -215,6 +215,7 @@
   if (Reader.has("status"))
     Result.Status = static_cast<unsigned>(Reader.number("status", MaxStatus));
   Result.Body = Reader.text("body");
+  Result.StoreEra = Reader.number("era");
   Result.NotExecuted = Reader.text("failure") == "unavailable";
   if (Reader.error())
     return *Reader.error();
@@ -281,7 +282,8 @@
 Message encode(const RelayReply &Reply) {
   if (!Reply.Status)
     return {{"failure", Reply.NotExecuted ? "unavailable" : "unknown"}};
-  return {{"status", *Reply.Status}, {"body", Reply.Body}};
+  return {
+      {"status", *Reply.Status}, {"body", Reply.Body}, {"era", Reply.StoreEra}};
 }
 
 Message encodeRelinquished() { return {{"done", true}}; }
--- a/src/peer/Messages.h
+++ b/src/peer/Messages.h
@@ -92,6 +92,8 @@
   /// Without a response: whether the store has certainly not executed the
   /// request.
   bool NotExecuted = false;
+  /// Era in which the store answered; 0 if it did not state it.
+  std::uint64_t StoreEra = 0;
 };
 
 /// Messages that are not decodable return Corrupt and name the field. Fields
--- a/src/peer/MessagesTest.cpp
+++ b/src/peer/MessagesTest.cpp
@@ -54,6 +54,11 @@
                                           milliseconds(800)}))
             .value();
     CPPUNIT_ASSERT(std::get<RelayRequest>(Relayed).Limit == milliseconds(800));
+    RelayReply Reply;
+    Reply.Status = 200;
+    Reply.StoreEra = 3;
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(3),
+                         decodeRelayReply(encode(Reply)).value().StoreEra);
     const Request Ended =
         decodeRequest(encode(RelinquishRequest{{"db", 9, "{}"}, 8})).value();
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(8),
