Order what the store holds by its era before its revision

Cause: a restored store assigns revisions again. The configuration was passed over when its revision was not higher than that of the one applied, and a watch went on from a position of before the restore. Class: names that the store gives (revisions, lease ids) were used across a restore, after which they name something else. Evidence: config_skipped with revision 23 of era 2 after revision 24 of era 1 on all daemons. Change: versions order configurations. Watch positions, transactions and leases carry the era in which their revisions and ids hold: the client does not send those of an earlier era, reads anew where a watch started in one, and uses no answer from before a restore.

--- a/src/cluster/LocalLease.h
+++ b/src/cluster/LocalLease.h
@@ -15,8 +15,10 @@
   /// resolution and for the time between a check and the action it permits.
   static constexpr Duration SafetyMargin = std::chrono::milliseconds(150);
 
-  /// Records a lease granted for Ttl by a call sent at SentAt.
-  void confirm(keyvalue::LeaseId Id, Time SentAt, Duration Ttl);
+  /// Records a lease granted for Ttl by a call sent at SentAt, which the store
+  /// executed in the era GrantedIn.
+  void confirm(keyvalue::LeaseId Id, Time SentAt, Duration Ttl,
+               keyvalue::Era GrantedIn = keyvalue::FirstEra);
   /// Records a successful renewal sent at SentAt, for the same time as the
   /// grant.
   void renewed(Time SentAt);
@@ -26,11 +28,16 @@
   bool isValid(Time Now) const { return Now < ValidUntil; }
   /// 0 if there is no lease.
   keyvalue::LeaseId id() const { return Id; }
+  /// The store forgets the lease if it is restored after this era. Until the
+  /// lease expires here, its holder may still rely on it if nobody else acts on
+  /// its absence from the store.
+  keyvalue::Era era() const { return GrantedIn; }
   Time validUntil() const { return ValidUntil; }
 
 private:
   keyvalue::LeaseId Id = 0;
   Duration GrantedTtl{};
+  keyvalue::Era GrantedIn = keyvalue::FirstEra;
   Time ValidUntil;
 };
 
--- a/src/entry/Coordinator.cpp
+++ b/src/entry/Coordinator.cpp
@@ -89,17 +89,19 @@
     co_return;
   const std::string Key(cluster::PromoterKey);
   keyvalue::Transaction Claim;
+  Claim.StoreEra = Grant.value().StoreEra;
   Claim.Conditions.push_back({Key, 0});
   Claim.Puts.push_back({Key, S.Settings.InstanceName, Grant.value().Id});
   const Expected<keyvalue::Revision> Written =
       co_await S.Store.commit(std::move(Claim));
   if (!Written || S.Stopping) {
-    co_await endLease(Grant.value().Id);
+    co_await endLease(Grant.value().Id, Grant.value().StoreEra);
     co_return;
   }
   CoordinatorLease = cluster::LocalLease();
   CoordinatorLease.confirm(Grant.value().Id, SentAt,
-                           std::chrono::milliseconds(Grant.value().TtlMs));
+                           std::chrono::milliseconds(Grant.value().TtlMs),
+                           Grant.value().StoreEra);
   RenewedAt = SentAt;
   FencingToken = Written.value();
   S.Promoter = {Key, S.Settings.InstanceName, Written.value(), Written.value(),
@@ -107,8 +109,9 @@
   S.Log.write(event::DutyTaken, FencingToken);
 }
 
-Task<void> Coordinator::endLease(keyvalue::LeaseId Id) {
-  const Expected<void> Ended = co_await S.Store.revokeLease(Id);
+Task<void> Coordinator::endLease(keyvalue::LeaseId Id,
+                                 keyvalue::Era GrantedIn) {
+  const Expected<void> Ended = co_await S.Store.revokeLease(Id, GrantedIn);
   // The lease then expires by itself; other daemons wait until it does.
   if (!Ended)
     S.Log.write(event::StoreLost, "end lease", Ended.error().Detail);
@@ -117,7 +120,8 @@
 Task<void> Coordinator::renew() {
   RenewedAt = bootTime();
   const keyvalue::LeaseId Id = CoordinatorLease.id();
-  const Expected<void> Renewed = co_await S.Store.renew(Id);
+  const Expected<void> Renewed =
+      co_await S.Store.renew(Id, CoordinatorLease.era());
   if (CoordinatorLease.id() != Id)
     co_return;
   if (Renewed) {
@@ -136,7 +140,7 @@
   FencingToken = 0;
   const keyvalue::LeaseId Id = CoordinatorLease.id();
   CoordinatorLease.drop();
-  co_await endLease(Id);
+  co_await endLease(Id, CoordinatorLease.era());
 }
 
 change::Cause Coordinator::causeOf(const std::string &Service,
--- a/src/entry/Coordinator.h
+++ b/src/entry/Coordinator.h
@@ -54,7 +54,7 @@
   selectCandidate(std::string Service, std::string Old);
   runtime::Task<std::optional<change::MemberReport>>
   promote(std::string Service, change::MemberReport Candidate, Term OldTerm);
-  runtime::Task<void> endLease(keyvalue::LeaseId Id);
+  runtime::Task<void> endLease(keyvalue::LeaseId Id, keyvalue::Era GrantedIn);
   runtime::Task<void> stepDown(pool::ServicePool &Pool, std::string Service,
                                cluster::GroupRecord Old);
   pool::ServicePool *findPool(const std::string &Service);
--- a/src/entry/Events.h
+++ b/src/entry/Events.h
@@ -37,10 +37,10 @@
     ConfigApplied{"config_applied",
                   LogLevel::Info,
                   {"version", "routes", "services", "revision", "store_era"}};
-inline constexpr EventType<Number, Number, Number> ConfigSkipped{
+inline constexpr EventType<Number, Number, Number, Number> ConfigSkipped{
     "config_skipped",
     LogLevel::Warning,
-    {"revision", "store_era", "applied_revision"}};
+    {"version", "revision", "store_era", "applied_version"}};
 inline constexpr EventType<Text, Text> EntryIgnored{
     "entry_ignored", LogLevel::Warning, {"key", "detail"}};
 inline constexpr EventType<Text, Number, Number, Text, bool> RecordApplied{
--- a/src/entry/PrimaryChange.cpp
+++ b/src/entry/PrimaryChange.cpp
@@ -41,6 +41,7 @@
     co_return false;
   const std::string Key = std::string(cluster::GroupPrefix) + Service;
   keyvalue::Transaction Update;
+  Update.StoreEra = CoordinatorLease.era();
   Update.Conditions.push_back({Key, Replaces});
   Update.Conditions.push_back(
       {std::string(cluster::PromoterKey), FencingToken});
--- a/src/entry/Registration.cpp
+++ b/src/entry/Registration.cpp
@@ -53,6 +53,7 @@
   Self.Incarnation = S.Incarnation;
   Self.ProcessorShare = S.Settings.ProcessorShare;
   keyvalue::Transaction Entry;
+  Entry.StoreEra = Grant.value().StoreEra;
   Entry.Puts.push_back({std::string(cluster::DaemonPrefix) + Self.Name,
                         cluster::encode(Self), Grant.value().Id});
   const Expected<keyvalue::Revision> Written =
@@ -69,7 +70,8 @@
         Found != S.ByService.end())
       Found->second->setRecord(Record, bootTime());
   S.Lease.confirm(Grant.value().Id, SentAt,
-                  std::chrono::milliseconds(Grant.value().TtlMs));
+                  std::chrono::milliseconds(Grant.value().TtlMs),
+                  Grant.value().StoreEra);
   S.Log.write(event::LeaseGranted, Grant.value().Id);
   co_return true;
 }
@@ -77,7 +79,7 @@
 Task<void> Registration::renew() {
   const keyvalue::LeaseId Id = S.Lease.id();
   const Time SentAt = bootTime();
-  const Expected<void> Renewed = co_await S.Store.renew(Id);
+  const Expected<void> Renewed = co_await S.Store.renew(Id, S.Lease.era());
   if (S.Lease.id() != Id)
     co_return;
   if (Renewed) {
@@ -103,10 +105,11 @@
 Task<void> Registration::release() {
   Released = true;
   const keyvalue::LeaseId Id = S.Lease.id();
+  const keyvalue::Era GrantedIn = S.Lease.era();
   if (Id == 0)
     co_return;
   S.Lease.drop();
-  const Expected<void> Ended = co_await S.Store.revokeLease(Id);
+  const Expected<void> Ended = co_await S.Store.revokeLease(Id, GrantedIn);
   if (!Ended)
     S.Log.write(event::StoreLost, "end lease", Ended.error().Detail);
 }
--- a/src/entry/StoreView.cpp
+++ b/src/entry/StoreView.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace borageridge::entry {
 namespace {
@@ -103,25 +104,25 @@
 }
 
 Task<void> StoreView::follow(std::string_view Prefix, bool &Complete) {
-  keyvalue::Revision At = 0;
+  std::optional<keyvalue::WatchPosition> From;
   for (;;) {
-    if (At == 0) {
-      Expected<keyvalue::Revision> Read = co_await load(Prefix);
+    if (!From) {
+      Expected<keyvalue::WatchPosition> Read = co_await load(Prefix);
       recordStoreResult("range", Read ? nullptr : &Read.error(), bootTime());
       if (!Read) {
         co_await S.Store.waitUntilReachable(MaxFailurePause);
         continue;
       }
-      At = Read.value();
       Complete = true;
       updateLoaded(bootTime());
+      From = Read.value();
     }
     const bool UseLongWatch = Prefix == cluster::KeyPrefix &&
                               S.Store.isReachable(bootTime()) &&
                               S.Shared.LiveDaemons >= MinDaemonsForLongWatch;
     const Duration Wait = UseLongWatch ? LongWatchTimeout : ShortWatchTimeout;
     Expected<keyvalue::WatchResult> Seen =
-        co_await S.Store.watch(std::string(Prefix), At, Wait);
+        co_await S.Store.watch(std::string(Prefix), *From, Wait);
     const Time Now = bootTime();
     recordStoreResult("watch", Seen ? nullptr : &Seen.error(), Now);
     if (!Seen) {
@@ -129,13 +130,13 @@
       continue;
     }
     if (Seen.value().Compacted) {
-      At = 0;
+      From.reset();
       continue;
     }
     for (const Change &C : Seen.value().Changes)
       apply(C);
     publishMembers(Now);
-    At = std::max(At, Seen.value().StoreRevision);
+    From->After = std::max(From->After, Seen.value().StoreRevision);
     if (!Seen.value().Changes.empty())
       co_await runtime::sleepFor(pauseAfterWatch(Prefix, Now));
   }
@@ -147,7 +148,7 @@
     if (S.NewestConfigSeen <= S.StatementExecutor.catalog().Version ||
         !S.Loaded)
       continue;
-    const Expected<keyvalue::Revision> Read =
+    const Expected<keyvalue::WatchPosition> Read =
         co_await load(platform::ConfigPrefix);
     if (!Read)
       co_await runtime::sleepFor(FailurePause);
@@ -214,7 +215,8 @@
   S.Loaded = true;
 }
 
-Task<Expected<keyvalue::Revision>> StoreView::load(std::string_view Prefix) {
+Task<Expected<keyvalue::WatchPosition>>
+StoreView::load(std::string_view Prefix) {
   Expected<keyvalue::RangePage> Page =
       co_await S.Store.range(std::string(Prefix));
   if (!Page)
@@ -241,7 +243,8 @@
     Absent(std::string(cluster::PromoterKey));
   }
   publishMembers(Now);
-  co_return Page.value().StoreRevision;
+  co_return keyvalue::WatchPosition{Page.value().StoreEra,
+                                    Page.value().StoreRevision};
 }
 
 Task<Expected<void>> StoreView::refreshRecords() {
@@ -275,22 +278,27 @@
   }
 }
 
+// Versions order the configurations, not revisions: a restored store holds an
+// older version until the operator writes the newest one again, with a revision
+// that may be lower than the one it had.
 void StoreView::applyConfig(const Item &Written) {
-  if (Written.ModRevision <= ConfigRevision) {
-    if (Written.ModRevision < ConfigRevision)
-      S.Log.write(event::ConfigSkipped, Written.ModRevision, S.Store.era(),
-                  ConfigRevision);
+  const cluster::Epoch Read =
+      cluster::makeEpoch(S.Store.era(), Written.ModRevision);
+  if (Read == ConfigEpoch)
     return;
-  }
   Expected<catalog::Catalog> Config = platform::decodeCatalog(Written.Value);
   if (!Config) {
     S.Log.write(event::EntryIgnored, Written.Key, Config.error().Detail);
     return;
   }
-  ConfigRevision = Written.ModRevision;
+  ConfigEpoch = Read;
   const catalog::Catalog &Newer = Config.value();
-  if (Newer.Version < S.StatementExecutor.catalog().Version)
+  const std::uint64_t Applied = S.StatementExecutor.catalog().Version;
+  if (Newer.Version < Applied) {
+    S.Log.write(event::ConfigSkipped, Newer.Version, Written.ModRevision,
+                S.Store.era(), Applied);
     return;
+  }
   S.Log.write(event::ConfigApplied, Newer.Version,
               Newer.RoutesByDatabase.size(), Newer.Services.size(),
               Written.ModRevision, S.Store.era());
@@ -365,11 +373,9 @@
 }
 
 void StoreView::tick(Time Now) {
-  if (const keyvalue::Era Seen = S.Store.era(); Seen != LoggedEra) {
-    if (LoggedEra != 0)
-      S.Log.write(event::StoreRestored, Seen, LoggedEra);
-    LoggedEra = Seen;
-  }
+  const keyvalue::Era Former = std::exchange(EraAtLastTick, S.Store.era());
+  if (S.Loaded && Former != EraAtLastTick)
+    S.Log.write(event::StoreRestored, EraAtLastTick, Former);
   for (auto It = S.RemovedMembers.begin(); It != S.RemovedMembers.end();) {
     if (Now - It->second < RemovalGracePeriod || StoreUnreachableSince) {
       if (StoreUnreachableSince)
--- a/src/entry/StoreView.h
+++ b/src/entry/StoreView.h
@@ -2,6 +2,7 @@
 #define BORAGERIDGE_ENTRY_STOREVIEW_H
 
 #include "cluster/EntryTracker.h"
+#include "cluster/Epoch.h"
 #include "entry/State.h"
 #include "keyvalue/KeyValue.h"
 
@@ -26,7 +27,8 @@
   runtime::Task<void> follow(std::string_view Prefix, bool &Complete);
   runtime::Task<void> pollMembers();
   runtime::Task<void> followPeerConfigVersions();
-  runtime::Task<Expected<keyvalue::Revision>> load(std::string_view Prefix);
+  runtime::Task<Expected<keyvalue::WatchPosition>>
+  load(std::string_view Prefix);
   Duration pauseAfterWatch(std::string_view Prefix, Time Now) const;
   bool holdsConnections() const;
   void updateLoaded(Time Now);
@@ -43,8 +45,9 @@
   bool ConfigLoaded = false;
   bool FleetLoaded = false;
   bool MembersLoaded = false;
-  keyvalue::Revision ConfigRevision = 0;
-  keyvalue::Era LoggedEra = 0;
+  /// The write of the last configuration that was read.
+  cluster::Epoch ConfigEpoch = 0;
+  keyvalue::Era EraAtLastTick = keyvalue::FirstEra;
   cluster::EntryTracker MemberEntries;
   bool MembersChanged = false;
   std::optional<Time> StoreUnreachableSince;
--- a/src/keyvalue/KeyValue.h
+++ b/src/keyvalue/KeyValue.h
@@ -12,9 +12,10 @@
 /// was restored from an older copy, revisions are assigned again, so they order
 /// writes only within one era.
 using Revision = std::uint64_t;
-/// Increases each time the store is restored from an older copy; 0 if the store
-/// has not stated it.
+/// Increases each time the store is restored from an older copy.
 using Era = std::uint64_t;
+/// The era of a store that has never been restored, or that does not state it.
+constexpr Era FirstEra = 1;
 using LeaseId = std::uint64_t;
 
 enum class ReadMode {
@@ -43,12 +44,21 @@
   std::vector<Item> Items;
   bool HasMore = false;
   Revision StoreRevision = 0;
+  /// Era of the revisions above.
+  Era StoreEra = FirstEra;
+};
+
+/// Position from which a watch starts or continues.
+struct WatchPosition {
+  Era StoreEra = FirstEra;
+  Revision After = 0;
 };
 
 struct WatchResult {
   std::vector<Change> Changes;
   Revision StoreRevision = 0;
-  /// The store has compacted the requested history.
+  /// The store no longer has the requested history: it has compacted it, or has
+  /// been restored from an older copy.
   bool Compacted = false;
 };
 
@@ -66,6 +76,8 @@
 
 /// Applied atomically if all conditions hold.
 struct Transaction {
+  /// Era of the revisions and leases named below.
+  Era StoreEra = FirstEra;
   std::vector<Condition> Conditions;
   std::vector<Put> Puts;
   std::vector<std::string> Deletes;
@@ -74,6 +86,8 @@
 struct LeaseGrant {
   LeaseId Id = 0;
   std::uint64_t TtlMs = 0;
+  /// The lease ends with this era; its id may be assigned again in the next.
+  Era StoreEra = FirstEra;
 };
 
 } // namespace borageridge::keyvalue
--- a/src/keyvalue/StoreClient.cpp
+++ b/src/keyvalue/StoreClient.cpp
@@ -46,8 +46,17 @@
          runtime::bootTime() - Start < Timeout);
 }
 
-void StoreClient::observeEra(const http::Response &Response) {
-  CurrentEra = std::max(CurrentEra, platform::storeEra(Response));
+void StoreClient::observeEra(const http::Response &Response, Time Now) {
+  const Era Stated = platform::storeEra(Response);
+  if (Stated <= CurrentEra)
+    return;
+  CurrentEra = Stated;
+  EraSeenAt = Now;
+}
+
+Era StoreClient::eraOf(const http::Response &Response) const {
+  const Era Stated = platform::storeEra(Response);
+  return Stated == 0 ? CurrentEra : Stated;
 }
 
 Task<Expected<http::Response>> StoreClient::callDirectly(http::Request Request,
@@ -65,7 +74,7 @@
       co_await Client.send(std::move(Request), Timeout);
   const Time Now = runtime::bootTime();
   if (Response)
-    observeEra(Response.value());
+    observeEra(Response.value(), Now);
   if (Response && !isRejection(Response.value())) {
     LastSuccess = Now;
     DirectRetryTime = Time();
@@ -82,7 +91,19 @@
   Expected<http::Response> Response =
       co_await RelayRequest(std::move(Request), Timeout);
   if (Response)
-    observeEra(Response.value());
+    observeEra(Response.value(), runtime::bootTime());
+  co_return Response;
+}
+
+Task<Expected<http::Response>> StoreClient::request(http::HttpClient &Client,
+                                                    http::Request Request,
+                                                    Duration Timeout,
+                                                    bool Idempotent) {
+  Expected<http::Response> Response =
+      co_await deliver(Client, std::move(Request), Timeout, Idempotent);
+  if (Response && eraOf(Response.value()) < CurrentEra)
+    co_return Failure{FailureKind::Unknown,
+                      "answered before the store was restored"};
   co_return Response;
 }
 
@@ -91,7 +112,7 @@
 // find out whether it took effect before sending it again. A request that the
 // relay could not deliver, or to which the store answered with a rejection, is
 // then sent directly, also if it is a transaction.
-Task<Expected<http::Response>> StoreClient::request(http::HttpClient &Client,
+Task<Expected<http::Response>> StoreClient::deliver(http::HttpClient &Client,
                                                     http::Request Request,
                                                     Duration Timeout,
                                                     bool Idempotent) {
@@ -125,8 +146,14 @@
     Expected<RangePage> Page = platform::decodeRange(Response.value());
     if (!Page)
       co_return std::move(Page).error();
-    if (After.empty())
+    const Era PageEra = eraOf(Response.value());
+    if (After.empty()) {
       Result.StoreRevision = Page.value().StoreRevision;
+      Result.StoreEra = PageEra;
+    } else if (PageEra != Result.StoreEra) {
+      co_return Failure{FailureKind::Unavailable,
+                        "the store was restored between two pages"};
+    }
     // The next page starts after the last item, so that a page without items
     // cannot be continued.
     const bool IsLast = !Page.value().HasMore || Page.value().Items.empty();
@@ -138,22 +165,36 @@
   }
 }
 
-Task<Expected<WatchResult>> StoreClient::watch(std::string Prefix,
-                                               Revision After, Duration Wait) {
+// Positions, conditions and leases of an earlier era name something else in the
+// present one, or nothing, so they are not sent. If the store is restored while
+// the request is under way, the response tells.
+Task<Expected<WatchResult>>
+StoreClient::watch(std::string Prefix, WatchPosition From, Duration Wait) {
+  WatchResult Lost;
+  Lost.Compacted = true;
+  if (From.StoreEra != CurrentEra)
+    co_return Lost;
   Expected<http::Response> Response = co_await request(
       Watches,
-      platform::watchRequest(Prefix, After, runtime::toMilliseconds(Wait)),
+      platform::watchRequest(Prefix, From.After, runtime::toMilliseconds(Wait)),
       Wait + WatchGracePeriod, true);
   if (!Response)
     co_return std::move(Response).error();
+  if (eraOf(Response.value()) != From.StoreEra)
+    co_return Lost;
   co_return platform::decodeWatch(Response.value());
 }
 
 Task<Expected<Revision>> StoreClient::commit(Transaction Change) {
+  if (Change.StoreEra != CurrentEra)
+    co_return Failure{FailureKind::Conflict, "the store has been restored"};
   Expected<http::Response> Response = co_await request(
       Direct, platform::transactionRequest(Change), RequestTimeout, false);
   if (!Response)
     co_return std::move(Response).error();
+  // A condition may have held by accident.
+  if (eraOf(Response.value()) != Change.StoreEra)
+    co_return Failure{FailureKind::Unknown, "the store has been restored"};
   co_return platform::decodeTransaction(Response.value());
 }
 
@@ -163,18 +204,29 @@
       RequestTimeout, true);
   if (!Response)
     co_return std::move(Response).error();
-  co_return platform::decodeLeaseGrant(Response.value());
+  Expected<LeaseGrant> Result = platform::decodeLeaseGrant(Response.value());
+  if (Result)
+    Result.value().StoreEra = eraOf(Response.value());
+  co_return Result;
 }
 
-Task<Expected<void>> StoreClient::renew(LeaseId Id) {
+Task<Expected<void>> StoreClient::renew(LeaseId Id, Era GrantedIn) {
+  const Failure Ended{FailureKind::NotFound,
+                      "ended when the store was restored"};
+  if (GrantedIn != CurrentEra)
+    co_return Ended;
   Expected<http::Response> Response = co_await request(
       Direct, platform::renewLeaseRequest(Id), RequestTimeout, true);
   if (!Response)
     co_return std::move(Response).error();
+  if (eraOf(Response.value()) != GrantedIn)
+    co_return Ended;
   co_return platform::decodeLeaseUpdate(Response.value());
 }
 
-Task<Expected<void>> StoreClient::revokeLease(LeaseId Id) {
+Task<Expected<void>> StoreClient::revokeLease(LeaseId Id, Era GrantedIn) {
+  if (GrantedIn != CurrentEra)
+    co_return BOOST_OUTCOME_V2_NAMESPACE::success();
   Expected<http::Response> Response = co_await request(
       Direct, platform::revokeLeaseRequest(Id), RequestTimeout, true);
   if (!Response)
--- a/src/keyvalue/StoreClient.h
+++ b/src/keyvalue/StoreClient.h
@@ -20,7 +20,8 @@
 
 /// Client of the platform's key-value service. A failure of kind Unavailable
 /// means that the request was not executed; Unknown means that it may have been
-/// or may still be executed.
+/// or may still be executed. A response that was given before the store was
+/// restored is Unknown too.
 class StoreClient {
 public:
   StoreClient(runtime::asio::io_context &Io, runtime::tcp::endpoint Server);
@@ -32,14 +33,15 @@
   /// first page, so that a watch that starts from it misses no change.
   runtime::Task<Expected<RangePage>> range(std::string Prefix,
                                            ReadMode Mode = ReadMode::Latest);
-  runtime::Task<Expected<WatchResult>> watch(std::string Prefix, Revision After,
-                                             Duration Wait);
-  /// Returns Conflict if a condition did not hold.
+  runtime::Task<Expected<WatchResult>> watch(std::string Prefix,
+                                             WatchPosition From, Duration Wait);
+  /// Returns Conflict if a condition did not hold, or if the store has been
+  /// restored since the era of the transaction.
   runtime::Task<Expected<Revision>> commit(Transaction Change);
   runtime::Task<Expected<LeaseGrant>> grant(Duration Ttl);
-  /// Returns NotFound if the lease has expired.
-  runtime::Task<Expected<void>> renew(LeaseId Id);
-  runtime::Task<Expected<void>> revokeLease(LeaseId Id);
+  /// Returns NotFound if the lease, granted in the era GrantedIn, has ended.
+  runtime::Task<Expected<void>> renew(LeaseId Id, Era GrantedIn);
+  runtime::Task<Expected<void>> revokeLease(LeaseId Id, Era GrantedIn);
 
   /// Sends a request on behalf of another daemon; never relays it.
   runtime::Task<Expected<http::Response>> callDirectly(http::Request Request,
@@ -53,6 +55,8 @@
 
   /// The newest era in which the store has answered, also through the relay.
   Era era() const { return CurrentEra; }
+  /// When this client first saw that era.
+  Time eraSeenAt() const { return EraSeenAt; }
   std::uint64_t calls() const { return RequestCount; }
 
 private:
@@ -72,9 +76,15 @@
   /// fails.
   http::HttpClient Watches;
   Relay RelayRequest;
-  void observeEra(const http::Response &Response);
+  runtime::Task<Expected<http::Response>> deliver(http::HttpClient &Client,
+                                                  http::Request Request,
+                                                  Duration Timeout,
+                                                  bool Idempotent);
+  void observeEra(const http::Response &Response, Time Now);
+  Era eraOf(const http::Response &Response) const;
 
-  Era CurrentEra = 0;
+  Era CurrentEra = FirstEra;
+  Time EraSeenAt;
   Time LastSuccess;
   Time DirectRetryTime;
   std::uint64_t RequestCount = 0;
--- a/src/keyvalue/StoreClientTest.cpp
+++ b/src/keyvalue/StoreClientTest.cpp
@@ -30,6 +30,12 @@
   CPPUNIT_TEST(failedRequestAbortsWatches);
   CPPUNIT_TEST(staleReadIsMarkedInTheRequest);
   CPPUNIT_TEST(knowsTheEraOfDirectAndOfRelayedAnswers);
+  CPPUNIT_TEST(watchOfAnEarlierEraIsCompactedInsteadOfMissingChanges);
+  CPPUNIT_TEST(watchDuringWhichTheStoreIsRestoredIsCompacted);
+  CPPUNIT_TEST(transactionOfAnEarlierEraIsNotSent);
+  CPPUNIT_TEST(transactionExecutedAfterARestoreIsUnknown);
+  CPPUNIT_TEST(leaseOfAnEarlierEraIsNeitherRenewedNorEnded);
+  CPPUNIT_TEST(answerFromBeforeARestoreIsNotUsed);
   CPPUNIT_TEST_SUITE_END();
 
   runtime::asio::io_context Io;
@@ -73,7 +79,7 @@
   void retriesARejectedRenewalThroughTheRelay() {
     installRelay();
     Store.Intercept = unavailable;
-    CPPUNIT_ASSERT(run(Client.renew(3)).has_value());
+    CPPUNIT_ASSERT(run(Client.renew(3, FirstEra)).has_value());
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Relayed);
   }
 
@@ -151,13 +157,13 @@
     const Time Start = runtime::bootTime();
     const auto Watch = [&]() -> Task<void> {
       const Expected<WatchResult> Result =
-          co_await Isolated.watch("a", 1, std::chrono::seconds(15));
+          co_await Isolated.watch("a", {FirstEra, 1}, std::chrono::seconds(15));
       CPPUNIT_ASSERT(!Result.has_value());
       Ended = runtime::bootTime();
     };
     runtime::spawn(Io, Watch());
     const auto Renew = [&]() -> Task<void> {
-      const Expected<void> Renewed = co_await Isolated.renew(3);
+      const Expected<void> Renewed = co_await Isolated.renew(3, FirstEra);
       CPPUNIT_ASSERT(!Renewed.has_value());
       co_await runtime::sleepFor(milliseconds(50));
       Io.stop();
@@ -169,7 +175,6 @@
   }
 
   void knowsTheEraOfDirectAndOfRelayedAnswers() {
-    CPPUNIT_ASSERT_EQUAL(Era(0), Client.era());
     CPPUNIT_ASSERT(run(Client.range("a")).has_value());
     CPPUNIT_ASSERT_EQUAL(Era(1), Client.era());
     Store.Intercept = unavailable;
@@ -185,6 +190,56 @@
     CPPUNIT_ASSERT_EQUAL(Era(2), Client.era());
   }
 
+  /// Restores the store, which the client notices.
+  void restoreStore() {
+    ++Store.Era;
+    CPPUNIT_ASSERT(run(Client.range("a")).has_value());
+  }
+
+  // The restored store assigns the same revisions again.
+  void watchOfAnEarlierEraIsCompactedInsteadOfMissingChanges() {
+    restoreStore();
+    const auto Seen = run(Client.watch("a", {FirstEra, 1}, milliseconds(10)));
+    CPPUNIT_ASSERT(Seen.value().Compacted);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Store.count("kv-watch"));
+  }
+
+  void watchDuringWhichTheStoreIsRestoredIsCompacted() {
+    ++Store.Era;
+    const auto Seen = run(Client.watch("a", {FirstEra, 1}, milliseconds(10)));
+    CPPUNIT_ASSERT(Seen.value().Compacted);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Store.count("kv-watch"));
+  }
+
+  void transactionOfAnEarlierEraIsNotSent() {
+    restoreStore();
+    CPPUNIT_ASSERT(run(Client.commit(Transaction())).error().Kind ==
+                   FailureKind::Conflict);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Store.count("kv-txn"));
+  }
+
+  void transactionExecutedAfterARestoreIsUnknown() {
+    ++Store.Era;
+    CPPUNIT_ASSERT(run(Client.commit(Transaction())).error().Kind ==
+                   FailureKind::Unknown);
+  }
+
+  // The restored store assigns the same lease ids again.
+  void leaseOfAnEarlierEraIsNeitherRenewedNorEnded() {
+    restoreStore();
+    CPPUNIT_ASSERT(run(Client.renew(3, FirstEra)).error().Kind ==
+                   FailureKind::NotFound);
+    CPPUNIT_ASSERT(run(Client.revokeLease(3, FirstEra)).has_value());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Store.count("kv-keep"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Store.count("kv-lease"));
+  }
+
+  void answerFromBeforeARestoreIsNotUsed() {
+    restoreStore();
+    --Store.Era;
+    CPPUNIT_ASSERT(run(Client.range("a")).error().Kind == FailureKind::Unknown);
+  }
+
   void staleReadIsMarkedInTheRequest() {
     CPPUNIT_ASSERT(run(Client.range("a", ReadMode::AllowStale)).has_value());
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Store.count("serializable=1"));
