Read entries of members anew after the store was restored

Cause: the entry of a member that is written again has a lower revision than the one known, so it was passed over; an entry that the copy lacks was not taken for absent. Change: the tracker starts over with each era; a member that leaves stays leaving within its incarnation, whatever an older entry says. Conclusion: entries follow the restored store; leases and records remain.

--- a/src/cluster/EntryTracker.cpp
+++ b/src/cluster/EntryTracker.cpp
@@ -15,6 +15,11 @@
 EntryTracker::Difference EntryTracker::update(const keyvalue::RangePage &Read,
                                               Time Now) {
   Difference Result;
+  if (Read.StoreEra != KnownEra) {
+    KnownEra = Read.StoreEra;
+    for (auto &[Key, E] : Known)
+      E.Changed = 0;
+  }
   std::set<std::string_view> Present;
   for (const keyvalue::Item &Item : Read.Items) {
     Present.insert(Item.Key);
--- a/src/cluster/EntryTracker.h
+++ b/src/cluster/EntryTracker.h
@@ -12,7 +12,8 @@
 
 /// Tracks the entries under a prefix through repeated reads that may be stale.
 /// A stale read neither reverts an entry to an older version nor removes a
-/// newer entry.
+/// newer entry. After the store has been restored, all entries that it holds
+/// count as written, and those that it lacks as absent.
 class EntryTracker {
 public:
   /// Changes found by a read.
@@ -34,6 +35,7 @@
     bool Absent = false;
   };
   std::map<std::string, Entry> Known;
+  keyvalue::Era KnownEra = keyvalue::FirstEra;
 };
 
 } // namespace borageridge::cluster
--- a/src/cluster/EntryTrackerTest.cpp
+++ b/src/cluster/EntryTrackerTest.cpp
@@ -33,10 +33,34 @@
   CPPUNIT_TEST(aRecreatedEntryIsReported);
   CPPUNIT_TEST(anUnchangedEntryThatReturnsIsReported);
   CPPUNIT_TEST(entriesThatStayAbsentAreDropped);
+  CPPUNIT_TEST(anEntryWithALowerRevisionAfterARestoreIsReported);
+  CPPUNIT_TEST(anEntryThatARestoredStoreLostIsAbsent);
   CPPUNIT_TEST_SUITE_END();
 
   EntryTracker Subject;
 
+  static RangePage readAfterRestore(std::vector<Item> Items, Revision At) {
+    RangePage Result = read(std::move(Items), At);
+    Result.StoreEra = 2;
+    return Result;
+  }
+
+  void anEntryWithALowerRevisionAfterARestoreIsReported() {
+    Subject.update(read({item("a", 9)}, 9), Now);
+    CPPUNIT_ASSERT_EQUAL(
+        std::size_t(1), Subject.update(readAfterRestore({item("a", 5)}, 5), Now)
+                            .Written.size());
+    CPPUNIT_ASSERT(Subject.update(readAfterRestore({item("a", 5)}, 6), Now)
+                       .Written.empty());
+  }
+
+  void anEntryThatARestoredStoreLostIsAbsent() {
+    Subject.update(read({item("a", 9)}, 9), Now);
+    CPPUNIT_ASSERT_EQUAL(
+        std::size_t(1),
+        Subject.update(readAfterRestore({}, 5), Now).Absent.size());
+  }
+
   void aNewEntryIsReported() {
     const auto Seen = Subject.update(read({item("a", 5)}, 5), Now);
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Seen.Written.size());
--- a/src/entry/StoreView.cpp
+++ b/src/entry/StoreView.cpp
@@ -326,7 +326,12 @@
   catalog::Member &Known = S.Members[Id];
   if (Known == Member.value())
     return;
+  // A member that leaves does not come back in the same incarnation, so an
+  // entry that says otherwise is older.
+  const bool StillLeaving = Known.Leaving && Known.Incarnation != 0 &&
+                            Known.Incarnation == Member.value().Incarnation;
   Known = std::move(Member).value();
+  Known.Leaving = Known.Leaving || StillLeaving;
   MembersChanged = true;
 }
 
--- a/src/entry/StoreViewTest.cpp
+++ b/src/entry/StoreViewTest.cpp
@@ -16,6 +16,8 @@
   CPPUNIT_TEST_SUITE(StoreViewTest);
   CPPUNIT_TEST(appliesAConfigurationThatARestoredStoreGivesALowerRevision);
   CPPUNIT_TEST(keepsTheConfigurationWhileARestoredStoreHoldsAnOlderOne);
+  CPPUNIT_TEST(appliesAnEntryOfAMemberThatARestoredStoreGivesALowerRevision);
+  CPPUNIT_TEST(leavingMemberStaysLeavingWhileARestoredStoreHoldsItsOlderEntry);
   CPPUNIT_TEST_SUITE_END();
 
   platform::FakeStore Store{Io};
@@ -37,6 +39,15 @@
     return S.StatementExecutor.catalog().Version;
   }
 
+  void writeMember(std::string_view State, std::string_view Role,
+                   std::int64_t Incarnation = 7) {
+    write("servers/m", R"({"backend":"db","address":"127.0.0.1:1","zone":"z1",)"
+                       R"("capacity":2,"state":")" +
+                           std::string(State) + R"(","db_role":")" +
+                           std::string(Role) + R"(","born":)" +
+                           std::to_string(Incarnation) + "}");
+  }
+
   void start() {
     runtime::spawn(Io, Subject.run());
     runLoopFor(milliseconds(200));
@@ -67,6 +78,35 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), appliedVersion());
     CPPUNIT_ASSERT(hasLogged("config_skipped"));
   }
+
+  // Guards against entries of members that are passed over after a restore.
+  void appliesAnEntryOfAMemberThatARestoredStoreGivesALowerRevision() {
+    writeConfig(1);
+    Store.takeCopy();
+    write("servers/unused", "{}");
+    writeMember("ready", "replica");
+    start();
+    CPPUNIT_ASSERT(!S.Members.at("m").ClaimsPrimary);
+    Store.restore();
+    writeMember("ready", "primary");
+    runLoopFor(milliseconds(800));
+    CPPUNIT_ASSERT(S.Members.at("m").ClaimsPrimary);
+  }
+
+  void leavingMemberStaysLeavingWhileARestoredStoreHoldsItsOlderEntry() {
+    writeConfig(1);
+    writeMember("ready", "replica");
+    Store.takeCopy();
+    writeMember("draining", "replica");
+    start();
+    CPPUNIT_ASSERT(S.Members.at("m").Leaving);
+    Store.restore();
+    runLoopFor(milliseconds(800));
+    CPPUNIT_ASSERT(S.Members.at("m").Leaving);
+    writeMember("ready", "replica", 8);
+    runLoopFor(milliseconds(800));
+    CPPUNIT_ASSERT(!S.Members.at("m").Leaving);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StoreViewTest);
