Register again after the store was restored, without interrupting the use of primaries

What callers would see: a daemon whose lease the store has lost goes on to use primaries while a change of primary does not wait for it, so that reads miss commits (STALE); or it renews a lease id that the store has given to another daemon since. Cause: leases and lease ids were taken for valid across a restore. Change: a lease holds in the era of its grant. A daemon that sees a new era registers again and keeps its use meanwhile; if its lease has ended before that, it uses no primary by a record of an earlier era, since a newer one may be lost. Daemons stay known for 2.5 s after a restore, and the coordinator of before is forgotten.

--- a/src/cluster/LocalLeaseTest.cpp
+++ b/src/cluster/LocalLeaseTest.cpp
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(anotherLeaseReplacesIt);
   CPPUNIT_TEST(itExpiresWhileTheDaemonIsSuspended);
   CPPUNIT_TEST(aDroppedLeaseIsNotValid);
+  CPPUNIT_TEST(aRenewalStaysInTheEraOfTheGrant);
   CPPUNIT_TEST_SUITE_END();
 
   const Time Start = Time(seconds(100));
@@ -27,6 +28,13 @@
     CPPUNIT_ASSERT_EQUAL(keyvalue::LeaseId(0), LocalLease().id());
   }
 
+  void aRenewalStaysInTheEraOfTheGrant() {
+    LocalLease Subject;
+    Subject.confirm(7, Start, seconds(6), 3);
+    Subject.renewed(Start + seconds(1));
+    CPPUNIT_ASSERT_EQUAL(keyvalue::Era(3), Subject.era());
+  }
+
   void itExpiresBeforeTheStoreExpiresIt() {
     LocalLease Subject;
     Subject.confirm(7, Start, seconds(6));
--- a/src/entry/Registration.cpp
+++ b/src/entry/Registration.cpp
@@ -9,9 +9,6 @@
 using runtime::bootTime;
 using runtime::Task;
 
-// A change of primary waits up to this long for a daemon that is partitioned.
-// Outages of the store that are shorter do not interrupt the use of primaries.
-constexpr Duration LeaseTtl = std::chrono::milliseconds(6000);
 constexpr Duration RenewInterval = std::chrono::milliseconds(1200);
 constexpr Duration FailurePause = std::chrono::milliseconds(200);
 constexpr Duration MaxFailurePause = std::chrono::milliseconds(1000);
@@ -22,27 +19,33 @@
   // A stopping daemon renews its lease while it still serves.
   while (!Released) {
     bool Done = true;
-    if (S.Lease.id() == 0)
+    if (!isRegistered())
       Done = co_await registerDaemon();
     else
       co_await renew();
     // If the store has ended the lease, register again without a pause.
-    if (Done && S.Lease.id() == 0)
+    if (Done && !isRegistered())
       continue;
     co_await runtime::sleepFor(Done ? RenewInterval : FailurePause);
     // Without a lease, wait until the cheaper reads of StoreView reach the
     // store.
-    if (!Done && S.Lease.id() == 0 && !S.Store.isReachable(bootTime()))
+    if (!Done && !isRegistered() && !S.Store.isReachable(bootTime()))
       co_await S.Store.waitUntilReachable(MaxFailurePause);
   }
 }
 
+// A lease of an earlier era is kept until it is replaced or expires: after a
+// restore of the store, no primary is changed before all such leases are over.
+bool Registration::isRegistered() const {
+  return S.Lease.id() != 0 && S.Lease.era() == S.Store.era();
+}
+
 // Reads the records after writing the entry: a change of primary either finds
 // the entry and asks this daemon to relinquish the primary, or the read returns
 // the record of that change.
 Task<bool> Registration::registerDaemon() {
   const Time SentAt = bootTime();
-  Expected<keyvalue::LeaseGrant> Grant = co_await S.Store.grant(LeaseTtl);
+  Expected<keyvalue::LeaseGrant> Grant = co_await S.Store.grant(UseLeaseTtl);
   if (!Grant)
     co_return false;
   cluster::DaemonRecord Self;
@@ -63,6 +66,10 @@
   const Expected<void> Read = co_await View.refreshRecords();
   if (!Read)
     co_return false;
+  // Under a lease that is still valid no primary has been changed unnoticed.
+  // Otherwise the store may have lost the record of a change.
+  if (!S.Lease.isValid(bootTime()))
+    S.Shared.TrustedFrom = cluster::makeEpoch(Grant.value().StoreEra, 0);
   // Applied without draining, because answers to statements in flight may not
   // be acknowledged without a lease anyway.
   for (const auto &[Service, Record] : S.Records)
@@ -84,7 +91,7 @@
     co_return;
   if (Renewed) {
     S.Lease.renewed(SentAt);
-  } else if (Renewed.error().Kind == FailureKind::NotFound) {
+  } else if (Renewed.error().Kind == FailureKind::NotFound && isRegistered()) {
     S.Log.write(event::LeaseLost, "ended at the store");
     S.Lease.drop();
   }
--- a/src/entry/Registration.h
+++ b/src/entry/Registration.h
@@ -21,6 +21,7 @@
   void tick(Time Now);
 
 private:
+  bool isRegistered() const;
   runtime::Task<bool> registerDaemon();
   runtime::Task<void> renew();
 
--- a/src/entry/RegistrationTest.cpp
+++ b/src/entry/RegistrationTest.cpp
@@ -23,6 +23,9 @@
   CPPUNIT_TEST(replacesAnEndedLeaseAtOnce);
   CPPUNIT_TEST(doesNotUseAReleasedLease);
   CPPUNIT_TEST(ignoresRenewalAnsweredAfterTheRelease);
+  CPPUNIT_TEST(registersAgainAfterARestoreWithoutInterruptingTheUse);
+  CPPUNIT_TEST(doesNotKeepALeaseIdThatARestoredStoreGaveToAnotherDaemon);
+  CPPUNIT_TEST(doesNotTrustAnOldRecordAfterARestoreThatOutlastedTheLease);
   CPPUNIT_TEST_SUITE_END();
 
   platform::FakeStore Store{Io};
@@ -30,6 +33,13 @@
   StoreView View{S};
   Registration Subject{S, View};
 
+  pool::ServicePool &addPool(const cluster::GroupRecord &Record) {
+    auto &Pool = S.ByService["db"];
+    Pool = std::make_unique<pool::ServicePool>(S.Shared, "db");
+    Pool->setRecord(Record, runtime::bootTime());
+    return *Pool;
+  }
+
   bool hasLease() const { return S.Lease.isValid(runtime::bootTime()); }
 
   void registersAndThenReadsTheRecords() {
@@ -129,6 +139,62 @@
     CPPUNIT_ASSERT(!hasLease());
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Store.count("kv-lease-end"));
   }
+
+  void registersAgainAfterARestoreWithoutInterruptingTheUse() {
+    pool::ServicePool &Pool = addPool({1, 1, "p", false, 0});
+    Store.takeCopy();
+    runtime::spawn(Io, Subject.run());
+    runLoopFor(milliseconds(200));
+    Store.restore();
+    const Time Start = runtime::bootTime();
+    while (!Store.contains(OwnKey) &&
+           runtime::bootTime() - Start < std::chrono::seconds(3)) {
+      runLoopFor(milliseconds(10));
+      CPPUNIT_ASSERT(Pool.mayUsePrimary(runtime::bootTime()));
+    }
+    runLoopFor(milliseconds(100));
+    CPPUNIT_ASSERT(Store.contains(OwnKey));
+    CPPUNIT_ASSERT(Pool.mayUsePrimary(runtime::bootTime()));
+    CPPUNIT_ASSERT_EQUAL(keyvalue::Era(2), S.Lease.era());
+  }
+
+  // Guards against a daemon that uses a primary while the store holds no entry
+  // of it: a change of primary would not wait for it.
+  void doesNotKeepALeaseIdThatARestoredStoreGaveToAnotherDaemon() {
+    Store.takeCopy();
+    runtime::spawn(Io, Subject.run());
+    runLoopFor(milliseconds(200));
+    const keyvalue::LeaseId Former = S.Lease.id();
+    Store.restore();
+    CPPUNIT_ASSERT_EQUAL(Former, Store.grantToAnother());
+    runLoopFor(milliseconds(1500));
+    CPPUNIT_ASSERT(S.Lease.id() != Former);
+    CPPUNIT_ASSERT(Store.contains(OwnKey));
+  }
+
+  // The store may have lost the record of a change of primary that this daemon
+  // has not seen either.
+  void doesNotTrustAnOldRecordAfterARestoreThatOutlastedTheLease() {
+    pool::ServicePool &Pool = addPool({1, 1, "p", false, 0});
+    Store.MaxTtlMs = 1000;
+    runtime::spawn(Io, Subject.run());
+    runLoopFor(milliseconds(200));
+    CPPUNIT_ASSERT(Pool.mayUsePrimary(runtime::bootTime()));
+    Store.Intercept = [](const http::Request &) {
+      return std::optional(http::Response{503, "{}"});
+    };
+    Store.takeCopy();
+    runLoopFor(milliseconds(1000));
+    CPPUNIT_ASSERT(!hasLease());
+    Store.restore();
+    Store.Intercept = [](const http::Request &) { return std::nullopt; };
+    runLoopFor(milliseconds(1500));
+    CPPUNIT_ASSERT(hasLease());
+    CPPUNIT_ASSERT(!Pool.mayUsePrimary(runtime::bootTime()));
+    Pool.setRecord({cluster::makeEpoch(2, 1), 1, "p", false, 0},
+                   runtime::bootTime());
+    CPPUNIT_ASSERT(Pool.mayUsePrimary(runtime::bootTime()));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RegistrationTest);
--- a/src/entry/State.h
+++ b/src/entry/State.h
@@ -104,6 +104,11 @@
 void applyRecord(State &S, const std::string &Service,
                  const cluster::GroupRecord &Newer);
 
+/// Lease under which a daemon may use primaries. A change of primary waits up
+/// to this long for a daemon that is partitioned. Outages of the store that are
+/// shorter do not interrupt the use of primaries.
+constexpr Duration UseLeaseTtl = std::chrono::milliseconds(6000);
+
 /// Time for statements in flight at the primary to finish when a change of
 /// primary begins.
 constexpr Duration DrainTimeout = std::chrono::milliseconds(300);
--- a/src/entry/StoreView.cpp
+++ b/src/entry/StoreView.cpp
@@ -53,6 +53,9 @@
 // reachable again.
 constexpr Duration RemovalGracePeriod = std::chrono::milliseconds(2300);
 
+// After the store has been restored, each daemon notices it with the next
+// renewal of its lease at the latest, and registers again.
+constexpr Duration ReRegistrationTime = std::chrono::milliseconds(2500);
 // All daemons register within this time after an outage in which they lost
 // their leases.
 constexpr Duration FleetRegistrationTime = std::chrono::milliseconds(600);
@@ -115,6 +118,10 @@
       }
       Complete = true;
       updateLoaded(bootTime());
+      if (Prefix == cluster::KeyPrefix && bootTime() < KeepDaemonsUntil) {
+        co_await runtime::sleepFor(KeepDaemonsUntil - bootTime());
+        continue;
+      }
       From = Read.value();
     }
     const bool UseLongWatch = Prefix == cluster::KeyPrefix &&
@@ -215,6 +222,18 @@
   S.Loaded = true;
 }
 
+// After a restore, the daemons register again, so that the absence of an entry
+// says nothing at first, and nobody holds the lease of the coordinator.
+void StoreView::noteFleetEra(keyvalue::Era Era, Time Now) {
+  if (Era == FleetEra)
+    return;
+  if (FleetEra) {
+    KeepDaemonsUntil = Now + ReRegistrationTime;
+    S.Promoter = Item();
+  }
+  FleetEra = Era;
+}
+
 Task<Expected<keyvalue::WatchPosition>>
 StoreView::load(std::string_view Prefix) {
   Expected<keyvalue::RangePage> Page =
@@ -222,6 +241,8 @@
   if (!Page)
     co_return std::move(Page).error();
   const Time Now = bootTime();
+  if (Prefix == cluster::KeyPrefix)
+    noteFleetEra(Page.value().StoreEra, Now);
   std::set<std::string> Present;
   for (const Item &Read : Page.value().Items) {
     Present.insert(Read.Key);
@@ -239,7 +260,8 @@
   if (Prefix == cluster::KeyPrefix) {
     const auto Daemons = S.Daemons;
     for (const auto &[Name, D] : Daemons)
-      Absent(std::string(cluster::DaemonPrefix) + Name);
+      if (Now >= KeepDaemonsUntil)
+        Absent(std::string(cluster::DaemonPrefix) + Name);
     Absent(std::string(cluster::PromoterKey));
   }
   publishMembers(Now);
--- a/src/entry/StoreView.h
+++ b/src/entry/StoreView.h
@@ -29,6 +29,7 @@
   runtime::Task<void> followPeerConfigVersions();
   runtime::Task<Expected<keyvalue::WatchPosition>>
   load(std::string_view Prefix);
+  void noteFleetEra(keyvalue::Era Era, Time Now);
   Duration pauseAfterWatch(std::string_view Prefix, Time Now) const;
   bool holdsConnections() const;
   void updateLoaded(Time Now);
@@ -47,6 +48,10 @@
   bool MembersLoaded = false;
   /// The write of the last configuration that was read.
   cluster::Epoch ConfigEpoch = 0;
+  /// Era in which the daemons were last read, if they were.
+  std::optional<keyvalue::Era> FleetEra;
+  /// Until then, daemons are kept although their entries are absent.
+  Time KeepDaemonsUntil;
   keyvalue::Era EraAtLastTick = keyvalue::FirstEra;
   cluster::EntryTracker MemberEntries;
   bool MembersChanged = false;
--- a/src/entry/StoreViewTest.cpp
+++ b/src/entry/StoreViewTest.cpp
@@ -18,6 +18,8 @@
   CPPUNIT_TEST(keepsTheConfigurationWhileARestoredStoreHoldsAnOlderOne);
   CPPUNIT_TEST(appliesAnEntryOfAMemberThatARestoredStoreGivesALowerRevision);
   CPPUNIT_TEST(leavingMemberStaysLeavingWhileARestoredStoreHoldsItsOlderEntry);
+  CPPUNIT_TEST(daemonsAreKeptUntilTheyHadTimeToRegisterAfterARestore);
+  CPPUNIT_TEST(coordinatorOfBeforeARestoreIsForgotten);
   CPPUNIT_TEST_SUITE_END();
 
   platform::FakeStore Store{Io};
@@ -107,6 +109,35 @@
     runLoopFor(milliseconds(800));
     CPPUNIT_ASSERT(!S.Members.at("m").Leaving);
   }
+
+  // A fleet that seems empty moves sessions and connections for nothing.
+  void daemonsAreKeptUntilTheyHadTimeToRegisterAfterARestore() {
+    writeConfig(1);
+    Store.takeCopy();
+    cluster::DaemonRecord Other;
+    Other.Name = "entry-2";
+    Other.Ip = "127.0.0.1";
+    write("borageridge/daemons/entry-2", encode(Other));
+    start();
+    CPPUNIT_ASSERT(S.Daemons.contains("entry-2"));
+    Store.restore();
+    runLoopFor(std::chrono::seconds(2));
+    CPPUNIT_ASSERT(S.Daemons.contains("entry-2"));
+    runLoopFor(std::chrono::seconds(1));
+    CPPUNIT_ASSERT(!S.Daemons.contains("entry-2"));
+  }
+
+  // The restored store reports no deletion of an entry that it never had.
+  void coordinatorOfBeforeARestoreIsForgotten() {
+    writeConfig(1);
+    Store.takeCopy();
+    write(cluster::PromoterKey, "entry-2");
+    start();
+    CPPUNIT_ASSERT_EQUAL(std::string("entry-2"), S.Promoter.Value);
+    Store.restore();
+    runLoopFor(milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(keyvalue::Revision(0), S.Promoter.ModRevision);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StoreViewTest);
--- a/src/pool/ServicePool.cpp
+++ b/src/pool/ServicePool.cpp
@@ -143,13 +143,14 @@
 
 bool ServicePool::mayUsePrimary(Time Now) const {
   return Record.Epoch != 0 && !Record.Changing &&
-         NoNewWorkEpoch < Record.Epoch && RelinquishedEpoch < Record.Epoch &&
-         Shared.Lease.isValid(Now);
+         Record.Epoch >= Shared.TrustedFrom && NoNewWorkEpoch < Record.Epoch &&
+         RelinquishedEpoch < Record.Epoch && Shared.Lease.isValid(Now);
 }
 
 bool ServicePool::mayAcknowledge(std::uint64_t Epoch, Time Now) const {
   return Epoch == Record.Epoch && !Record.Changing &&
-         RelinquishedEpoch < Epoch && Shared.Lease.isValid(Now);
+         Record.Epoch >= Shared.TrustedFrom && RelinquishedEpoch < Epoch &&
+         Shared.Lease.isValid(Now);
 }
 
 bool ServicePool::isUsable(const MemberState &M, Time Now) const {
--- a/src/pool/ServicePool.h
+++ b/src/pool/ServicePool.h
@@ -5,6 +5,7 @@
 #include "borageridge/Failure.h"
 #include "borageridge/Types.h"
 #include "catalog/Catalog.h"
+#include "cluster/Epoch.h"
 #include "cluster/LocalLease.h"
 #include "cluster/Records.h"
 #include "freshness/PrimaryPositions.h"
@@ -34,6 +35,9 @@
   const cluster::LocalLease &Lease;
   std::string InstanceName;
   std::string AvailabilityZone;
+  /// Records of earlier epochs do not permit the use of a primary, because the
+  /// store may have lost newer ones.
+  cluster::Epoch TrustedFrom = 0;
   /// Number of live daemons known to this one.
   std::size_t LiveDaemons = 1;
   /// Time after which a primary that announced its departure receives no more
