Keep the order of records and fencing tokens when the store is restored

What callers would see: a primary that was replaced is used again after a restore has taken the record of its change away (STALE), or a promotion is sent with a lower fencing token than the platform has seen (ONE); no daemon could write a record any more, since all conditions named revisions of before. Cause: revisions were the epochs of records and the fencing tokens. Change: an epoch is the era and the revision of a write, and equals the revision in the first era, so daemons of earlier versions understand it until a restore. A record keeps its era when it is copied, so a copy never replaces a newer one. After a restore no daemon coordinates until all leases of before have expired; then it writes each record again, or changes the primary if its own use was interrupted, since the record of a change may be lost. A record that only confirms the primary no longer ends the statements in work.

--- a/src/change/ChangePolicy.cpp
+++ b/src/change/ChangePolicy.cpp
@@ -61,6 +61,8 @@
     return "no_record";
   case Cause::Interrupted:
     return "interrupted";
+  case Cause::Restored:
+    return "store_restored";
   case Cause::Leaving:
     return "leaving";
   case Cause::Unreachable:
@@ -98,6 +100,8 @@
     return Cause::NoRecord;
   if (Known.Record.Changing)
     return Cause::Interrupted;
+  if (!cluster::isOfEra(Known.Record.Epoch, Known.StoreEra))
+    return Cause::Restored;
   const catalog::Member *Primary = find(Known.Members, Known.Record.Primary);
   if (!hasSuccessor(Known.Members, Known.Record.Primary))
     return Cause::None;
--- a/src/change/ChangePolicy.h
+++ b/src/change/ChangePolicy.h
@@ -21,6 +21,9 @@
   NoRecord,
   /// A change was started but not completed.
   Interrupted,
+  /// The record was written before the store was restored, so a newer one may
+  /// be lost.
+  Restored,
   Leaving,
   Unreachable,
   /// The primary no longer claims the role.
@@ -56,6 +59,7 @@
   std::span<const catalog::Member> Members;
   PrimaryReports Reports;
   std::size_t LiveDaemons = 1;
+  keyvalue::Era StoreEra = keyvalue::FirstEra;
   /// Start of the time in which the recorded primary has not claimed the role.
   std::optional<Time> NotLeadingSince;
   /// Start of the time in which the recorded primary has not been registered.
--- a/src/change/ChangePolicyTest.cpp
+++ b/src/change/ChangePolicyTest.cpp
@@ -48,6 +48,7 @@
   CPPUNIT_TEST(withoutASuccessorThereIsNoChange);
   CPPUNIT_TEST(aRestartedPrimaryCausesAChange);
   CPPUNIT_TEST(anInterruptedChangeIsResumed);
+  CPPUNIT_TEST(aRecordFromBeforeARestoreIsConfirmedFirst);
   CPPUNIT_TEST(aMissingEntryCountsAfterADelay);
   CPPUNIT_TEST(theLongestLogIsPreferred);
   CPPUNIT_TEST(aLeavingReplicaIsChosenOnlyForALongerLog);
@@ -134,6 +135,17 @@
     CPPUNIT_ASSERT(changeCause(Known, Now) == Cause::Interrupted);
   }
 
+  void aRecordFromBeforeARestoreIsConfirmedFirst() {
+    ServiceObservation Known = situation();
+    Known.StoreEra = 2;
+    CPPUNIT_ASSERT(changeCause(Known, Now) == Cause::Restored);
+    Known.Record.Changing = true;
+    CPPUNIT_ASSERT(changeCause(Known, Now) == Cause::Interrupted);
+    Known.Record.Changing = false;
+    Known.Record.Epoch = cluster::makeEpoch(2, 4);
+    CPPUNIT_ASSERT(changeCause(Known, Now) == Cause::None);
+  }
+
   void aMissingEntryCountsAfterADelay() {
     Members.erase(Members.begin());
     ServiceObservation Known = situation();
--- a/src/cluster/Records.cpp
+++ b/src/cluster/Records.cpp
@@ -23,7 +23,8 @@
   return json{{"term", Record.PrimaryTerm},
               {"primary", Record.Primary},
               {"changing", Record.Changing},
-              {"born", Record.PrimaryIncarnation}}
+              {"born", Record.PrimaryIncarnation},
+              {"era", eraOf(Record.Epoch)}}
       .dump();
 }
 
@@ -32,10 +33,15 @@
   const json Object = json::parse(Json, nullptr, false);
   if (!Object.is_object() || !isInteger(Object, "term") ||
       !isString(Object, "primary") || !Object.contains("changing") ||
-      !Object["changing"].is_boolean() || !isInteger(Object, "born"))
+      !Object["changing"].is_boolean() || !isInteger(Object, "born") ||
+      (Object.contains("era") && !Object["era"].is_number_unsigned()))
     return BadRecord;
   GroupRecord Result;
-  Result.Epoch = Changed;
+  // Records of the first era may lack it.
+  const keyvalue::Era Era = Object.value("era", keyvalue::FirstEra);
+  if (Era < keyvalue::FirstEra || Era > LastEra)
+    return BadRecord;
+  Result.Epoch = makeEpoch(Era, Changed);
   Result.PrimaryTerm = Object["term"].get<Term>();
   Result.Primary = Object["primary"].get<std::string>();
   Result.Changing = Object["changing"].get<bool>();
--- a/src/cluster/Records.h
+++ b/src/cluster/Records.h
@@ -3,6 +3,7 @@
 
 #include "borageridge/Failure.h"
 #include "borageridge/Types.h"
+#include "cluster/Epoch.h"
 #include "keyvalue/KeyValue.h"
 
 #include <cstdint>
@@ -19,8 +20,8 @@
 
 /// The primary of a service, as agreed through the key-value store.
 struct GroupRecord {
-  /// Store revision of this record, used as the epoch. 0 if no record is known.
-  keyvalue::Revision Epoch = 0;
+  /// The write of this record to the store. 0 if no record is known.
+  cluster::Epoch Epoch = 0;
   Term PrimaryTerm = 0;
   std::string Primary;
   /// A primary change is in progress; no daemon may use the primary.
@@ -31,7 +32,11 @@
   friend bool operator==(const GroupRecord &, const GroupRecord &) = default;
 };
 
+/// Encodes the era of the epoch, but not its revision, which is assigned when
+/// the record is written.
 std::string encode(const GroupRecord &Record);
+/// A restored store still holds records of earlier eras, with the revisions
+/// that they had, so their epochs do not change by the restore.
 Expected<GroupRecord> decodeGroup(std::string_view Json,
                                   keyvalue::Revision Changed);
 
--- a/src/cluster/RecordsTest.cpp
+++ b/src/cluster/RecordsTest.cpp
@@ -10,6 +10,8 @@
   CPPUNIT_TEST(aGroupRecordIsRestoredByDecoding);
   CPPUNIT_TEST(aDaemonRecordIsRestoredByDecoding);
   CPPUNIT_TEST(aDaemonRecordWithoutAProcessorShareHasTheDefault);
+  CPPUNIT_TEST(epochOfAGroupRecordDoesNotChangeWhenTheStoreIsRestored);
+  CPPUNIT_TEST(aGroupRecordWithoutAnEraIsOfTheFirst);
   CPPUNIT_TEST(malformedRecordsAreCorrupt);
   CPPUNIT_TEST_SUITE_END();
 
@@ -18,6 +20,24 @@
     CPPUNIT_ASSERT(decodeGroup(encode(Record), 12).value() == Record);
   }
 
+  // A copy that is some seconds old holds a record with the revision that it
+  // had, so it never counts as newer than the one that replaced it.
+  void epochOfAGroupRecordDoesNotChangeWhenTheStoreIsRestored() {
+    const GroupRecord First{12, 3, "i-1", false, 0};
+    CPPUNIT_ASSERT_EQUAL(Epoch(12),
+                         decodeGroup(encode(First), 12).value().Epoch);
+    const GroupRecord Second{makeEpoch(2, 0), 3, "i-1", false, 0};
+    CPPUNIT_ASSERT_EQUAL(makeEpoch(2, 9),
+                         decodeGroup(encode(Second), 9).value().Epoch);
+  }
+
+  // Written by daemons of earlier versions.
+  void aGroupRecordWithoutAnEraIsOfTheFirst() {
+    const auto Record = decodeGroup(
+        R"({"term":3,"primary":"a","changing":false,"born":0})", 12);
+    CPPUNIT_ASSERT_EQUAL(Epoch(12), Record.value().Epoch);
+  }
+
   void aDaemonRecordIsRestoredByDecoding() {
     const DaemonRecord Record{"entry-1", "10.1.0.8", 7440, "z1", 99, 120};
     CPPUNIT_ASSERT(decodeDaemon(encode(Record)).value() == Record);
@@ -40,6 +60,14 @@
       CPPUNIT_ASSERT_MESSAGE(Json, decodeDaemon(Json).error().Kind ==
                                        FailureKind::Corrupt);
     }
+    for (const char *Era : {"0", "-1", "\"2\"", "99999999999"})
+      CPPUNIT_ASSERT(
+          decodeGroup(std::string(R"({"term":3,"primary":"a","changing":false,)"
+                                  R"("born":0,"era":)") +
+                          Era + "}",
+                      1)
+              .error()
+              .Kind == FailureKind::Corrupt);
   }
 };
 
--- a/src/entry/Coordinator.cpp
+++ b/src/entry/Coordinator.cpp
@@ -38,7 +38,23 @@
 }
 
 bool Coordinator::isActive(Time Now) const {
-  return FencingToken != 0 && CoordinatorLease.isValid(Now);
+  return FencingToken != 0 && CoordinatorLease.isValid(Now) &&
+         CoordinatorLease.era() == S.Store.era();
+}
+
+// A restored store has lost the leases of daemons that may still use primaries,
+// and of a coordinator that may still act. A coordinator waits until all of
+// them have expired; a record of the present era shows that one has.
+bool Coordinator::mayBecomeActive(Time Now) const {
+  if (!S.Lease.isValid(Now) || S.Lease.era() != S.Store.era() ||
+      S.Promoter.ModRevision != 0 || !reachesHalfOfFleet(Now))
+    return false;
+  const Duration LongestLease = std::max(UseLeaseTtl, S.Settings.MinLease);
+  return S.Store.era() == keyvalue::FirstEra ||
+         Now - S.Store.eraSeenAt() >= LongestLease ||
+         std::any_of(S.Records.begin(), S.Records.end(), [&](const auto &R) {
+           return cluster::isOfEra(R.second.Epoch, S.Store.era());
+         });
 }
 
 // A daemon that is partitioned from most of the others cannot tell whether a
@@ -58,11 +74,12 @@
     const Time Now = bootTime();
     if (S.Loaded && !isActive(Now)) {
       if (FencingToken != 0) {
-        S.Log.write(event::DutyLost, "lease not renewed in time");
+        S.Log.write(event::DutyLost, CoordinatorLease.era() == S.Store.era()
+                                         ? "lease not renewed in time"
+                                         : "the store was restored");
         FencingToken = 0;
       }
-      if (S.Lease.isValid(Now) && S.Promoter.ModRevision == 0 &&
-          reachesHalfOfFleet(Now))
+      if (mayBecomeActive(Now))
         co_await tryBecomeActive();
     } else if (isActive(Now)) {
       if (!reachesHalfOfFleet(Now) && ChangesInProgress.empty())
@@ -103,7 +120,7 @@
                            std::chrono::milliseconds(Grant.value().TtlMs),
                            Grant.value().StoreEra);
   RenewedAt = SentAt;
-  FencingToken = Written.value();
+  FencingToken = cluster::makeEpoch(Grant.value().StoreEra, Written.value());
   S.Promoter = {Key, S.Settings.InstanceName, Written.value(), Written.value(),
                 CoordinatorLease.id()};
   S.Log.write(event::DutyTaken, FencingToken);
@@ -160,6 +177,7 @@
   Known.Record = Record;
   Known.Members = Members;
   Known.Reports = Reports;
+  Known.StoreEra = S.Store.era();
   // If only some daemons hold the connections of the service, only those can
   // observe the primary.
   const auto Holders = S.Holders.find(Service);
@@ -200,6 +218,8 @@
     Done = co_await createRecord(Service);
   else if (Reason == Cause::Restarted && co_await confirmRestarted(Service))
     Done = true;
+  else if (Reason == Cause::Restored && co_await confirmRestored(Service))
+    Done = true;
   else
     Done = co_await changePrimary(Service, Reason);
   if (Done) {
--- a/src/entry/Coordinator.h
+++ b/src/entry/Coordinator.h
@@ -31,6 +31,7 @@
 
 private:
   bool isActive(Time Now) const;
+  bool mayBecomeActive(Time Now) const;
   bool reachesHalfOfFleet(Time Now) const;
   runtime::Task<void> tryBecomeActive();
   runtime::Task<void> renew();
@@ -40,10 +41,13 @@
   runtime::Task<void> handleChange(std::string Service, change::Cause Reason);
   runtime::Task<bool> createRecord(std::string Service);
   runtime::Task<bool> confirmRestarted(std::string Service);
+  runtime::Task<bool> confirmRestored(std::string Service);
+  runtime::Task<Expected<keyvalue::Revision>>
+  storedRevision(std::string Service, cluster::Epoch Known);
   runtime::Task<bool> changePrimary(std::string Service, change::Cause Reason);
   runtime::Task<bool> writeRecord(std::string Service,
                                   cluster::GroupRecord &Record,
-                                  std::uint64_t Replaces);
+                                  cluster::Epoch Replaces);
   runtime::Task<bool> revokeOldPrimary(std::string Service,
                                        cluster::GroupRecord Changing);
   runtime::Task<std::vector<change::MemberReport>>
@@ -63,7 +67,8 @@
   Exchange &PeerExchange;
   http::HttpClient PromotionClient;
   cluster::LocalLease CoordinatorLease;
-  std::uint64_t FencingToken = 0;
+  /// The write of this daemon's entry as active coordinator; 0 if it is not.
+  cluster::Epoch FencingToken = 0;
   Time RenewedAt;
   /// Services whose primary is being changed.
   std::set<std::string> ChangesInProgress;
--- a/src/entry/CoordinatorTest.cpp
+++ b/src/entry/CoordinatorTest.cpp
@@ -25,6 +25,11 @@
   CPPUNIT_TEST(countsPeersThatAreQueriedRarelyInALargeFleet);
   CPPUNIT_TEST(endsTheLeaseIfItStopsWhileTakingTheRole);
   CPPUNIT_TEST(ignoresRenewalAnsweredAfterResigning);
+  CPPUNIT_TEST(losesTheRoleWhenTheStoreIsRestored);
+  CPPUNIT_TEST(doesNotTakeTheRoleWhileLeasesOfBeforeARestoreMayBeValid);
+  CPPUNIT_TEST(fencingTokenIncreasesThoughARestoredStoreAssignsLowerRevisions);
+  CPPUNIT_TEST(writesARecordAgainThatARestoredStoreHasLost);
+  CPPUNIT_TEST(changesAPrimaryOfWhichARestoredStoreMayHaveLostTheSuccessor);
   CPPUNIT_TEST_SUITE_END();
 
   platform::FakeStore Store{Io};
@@ -51,6 +56,42 @@
     }
   }
 
+  /// Restores the store; the daemon notices it and registers again.
+  void restoreStore() {
+    Store.restore();
+    const auto Notice = [this]() -> runtime::Task<void> {
+      const auto Read = co_await S.Store.range("unused");
+      CPPUNIT_ASSERT(Read.has_value());
+      S.Promoter = keyvalue::Item();
+      S.Lease.confirm(8, runtime::bootTime(), std::chrono::seconds(60), 2);
+    };
+    runtime::spawn(Io, Notice());
+    runLoopFor(milliseconds(200));
+  }
+
+  /// Shows that no lease of before the restore is valid any more.
+  void addRecordOfTheSecondEra() {
+    S.Records["other"].Epoch = cluster::makeEpoch(2, 1);
+  }
+
+  void writeRecord(const cluster::GroupRecord &Record) {
+    keyvalue::Transaction Change;
+    Change.Puts.push_back({"borageridge/groups/db", encode(Record), 0});
+    Store.commit(Change);
+  }
+
+  cluster::GroupRecord storedRecord() const {
+    return cluster::decodeGroup(Store.value("borageridge/groups/db"), 0)
+        .value();
+  }
+
+  void addPool(const cluster::GroupRecord &Record) {
+    auto &Pool = S.ByService["db"];
+    Pool = std::make_unique<pool::ServicePool>(S.Shared, "db");
+    Pool->setRecord(Record, runtime::bootTime());
+    S.Records["db"] = Record;
+  }
+
   bool isCoordinatorRegistered() const { return Store.contains(PromoterKey); }
 
   void takesTheVacantRole() {
@@ -134,6 +175,73 @@
     runLoopFor(milliseconds(300));
     CPPUNIT_ASSERT_EQUAL(std::size_t(2), Store.count("kv-txn"));
   }
+
+  void losesTheRoleWhenTheStoreIsRestored() {
+    start();
+    runLoopFor(milliseconds(200));
+    restoreStore();
+    CPPUNIT_ASSERT(hasLogged("duty_lost"));
+    CPPUNIT_ASSERT(!isCoordinatorRegistered());
+  }
+
+  // The restored store does not show who holds them.
+  void doesNotTakeTheRoleWhileLeasesOfBeforeARestoreMayBeValid() {
+    restoreStore();
+    start();
+    runLoopFor(milliseconds(1000));
+    CPPUNIT_ASSERT(!isCoordinatorRegistered());
+    addRecordOfTheSecondEra();
+    runLoopFor(milliseconds(300));
+    CPPUNIT_ASSERT(isCoordinatorRegistered());
+  }
+
+  // Guards against a lower token than the platform has seen.
+  void fencingTokenIncreasesThoughARestoredStoreAssignsLowerRevisions() {
+    Store.takeCopy();
+    for (int I = 0; I < 10; ++I)
+      writeRecord({1, 1, "p", false, 0});
+    start();
+    runLoopFor(milliseconds(200));
+    const keyvalue::Revision Former = S.Promoter.ModRevision;
+    addRecordOfTheSecondEra();
+    restoreStore();
+    runLoopFor(milliseconds(300));
+    CPPUNIT_ASSERT(S.Promoter.ModRevision != 0);
+    CPPUNIT_ASSERT(S.Promoter.ModRevision < Former);
+    Log.flush();
+    CPPUNIT_ASSERT(Lines.str().find("\"fencing_token\":" +
+                                    std::to_string(cluster::makeEpoch(
+                                        2, S.Promoter.ModRevision))) !=
+                   std::string::npos);
+  }
+
+  // Guards against a primary that was replaced and is used again.
+  void writesARecordAgainThatARestoredStoreHasLost() {
+    writeRecord({1, 1, "p", false, 0});
+    Store.takeCopy();
+    const cluster::GroupRecord Newer{Store.revision() + 5, 2, "q", false, 0};
+    addPool(Newer);
+    addRecordOfTheSecondEra();
+    restoreStore();
+    start();
+    runLoopFor(milliseconds(400));
+    CPPUNIT_ASSERT_EQUAL(std::string("q"), storedRecord().Primary);
+    CPPUNIT_ASSERT_EQUAL(Term(2), storedRecord().PrimaryTerm);
+    CPPUNIT_ASSERT(!storedRecord().Changing);
+    CPPUNIT_ASSERT(cluster::isOfEra(S.Records["db"].Epoch, 2));
+  }
+
+  void changesAPrimaryOfWhichARestoredStoreMayHaveLostTheSuccessor() {
+    writeRecord({1, 1, "p", false, 0});
+    Store.takeCopy();
+    addPool({Store.revision(), 1, "p", false, 0});
+    S.Shared.TrustedFrom = cluster::makeEpoch(2, 0);
+    addRecordOfTheSecondEra();
+    restoreStore();
+    start();
+    runLoopFor(milliseconds(400));
+    CPPUNIT_ASSERT(storedRecord().Changing);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CoordinatorTest);
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -46,7 +46,8 @@
 
 // Daemons send an empty record for services of which they know none.
 void applyEncodedRecord(State &S, const peer::EncodedRecord &Entry) {
-  const auto Record = cluster::decodeGroup(Entry.Record, Entry.Epoch);
+  const auto Record =
+      cluster::decodeGroup(Entry.Record, cluster::revisionOf(Entry.Epoch));
   if (Record)
     applyRecord(S, Entry.Service, Record.value());
 }
--- a/src/entry/PrimaryChange.cpp
+++ b/src/entry/PrimaryChange.cpp
@@ -33,18 +33,50 @@
 // The steps of a change of primary. Each step can be repeated by another daemon
 // if this one fails.
 
+// Returns the revision at which the store holds the record of the service, to
+// be replaced; 0 if it holds none. A restored store holds an older record than
+// the known one, or none. Fails if it holds a newer one.
+Task<Expected<keyvalue::Revision>>
+Coordinator::storedRevision(std::string Service, cluster::Epoch Known) {
+  if (cluster::isOfEra(Known, CoordinatorLease.era()))
+    co_return cluster::revisionOf(Known);
+  const std::string Key = std::string(cluster::GroupPrefix) + Service;
+  const Expected<keyvalue::RangePage> Page = co_await S.Store.range(Key);
+  if (!Page)
+    co_return Page.error();
+  for (const keyvalue::Item &Stored : Page.value().Items) {
+    if (Stored.Key != Key)
+      continue;
+    const auto Record = cluster::decodeGroup(Stored.Value, Stored.ModRevision);
+    if (Record && Record.value().Epoch > Known) {
+      applyRecord(S, Service, Record.value());
+      co_return Failure{FailureKind::Conflict, "the store has a newer record"};
+    }
+    co_return Stored.ModRevision;
+  }
+  co_return keyvalue::Revision(0);
+}
+
 // If the store's answer is lost, the watch reports whether the record was
 // written, and the next examination uses it.
 Task<bool> Coordinator::writeRecord(std::string Service, GroupRecord &Record,
-                                    std::uint64_t Replaces) {
+                                    cluster::Epoch Replaces) {
+  const Expected<keyvalue::Revision> Replaced =
+      co_await storedRevision(Service, Replaces);
+  if (!Replaced) {
+    S.Log.write(event::ChangeFailed, Service, Replaced.error().Detail);
+    co_return false;
+  }
   if (!isActive(bootTime()))
     co_return false;
   const std::string Key = std::string(cluster::GroupPrefix) + Service;
+  const keyvalue::Era Era = CoordinatorLease.era();
+  Record.Epoch = cluster::makeEpoch(Era, 0);
   keyvalue::Transaction Update;
-  Update.StoreEra = CoordinatorLease.era();
-  Update.Conditions.push_back({Key, Replaces});
+  Update.StoreEra = Era;
+  Update.Conditions.push_back({Key, Replaced.value()});
   Update.Conditions.push_back(
-      {std::string(cluster::PromoterKey), FencingToken});
+      {std::string(cluster::PromoterKey), cluster::revisionOf(FencingToken)});
   Update.Puts.push_back({Key, cluster::encode(Record), 0});
   const Expected<keyvalue::Revision> Written =
       co_await S.Store.commit(std::move(Update));
@@ -52,7 +84,7 @@
     S.Log.write(event::ChangeFailed, Service, Written.error().Detail);
     co_return false;
   }
-  Record.Epoch = Written.value();
+  Record.Epoch = cluster::makeEpoch(Era, Written.value());
   co_return true;
 }
 
@@ -149,6 +181,20 @@
   co_return true;
 }
 
+// A daemon whose use of primaries was not interrupted by the restore knows the
+// newest record, which the store may have lost.
+Task<bool> Coordinator::confirmRestored(std::string Service) {
+  const GroupRecord Old = findPool(Service)->record();
+  if (Old.Epoch < S.Shared.TrustedFrom)
+    co_return false;
+  GroupRecord Record = Old;
+  if (!co_await writeRecord(Service, Record, Old.Epoch))
+    co_return false;
+  applyRecord(S, Service, Record);
+  PeerExchange.announce(Service, Record);
+  co_return true;
+}
+
 // Waits until every registered daemon has relinquished the old primary or its
 // lease has ended.
 Task<bool> Coordinator::revokeOldPrimary(std::string Service,
@@ -299,8 +345,9 @@
   S.Log.write(event::ChangeStep, Service, "old primary relinquished",
               Old.Primary);
   std::optional<MemberReport> Leader;
-  // The daemon that began the interrupted change may have promoted a member.
-  if (Reason == Cause::Interrupted)
+  // The daemon that began the interrupted change may have promoted a member, as
+  // may one whose change the store has lost.
+  if (Reason == Cause::Interrupted || Reason == Cause::Restored)
     for (const MemberReport &R : co_await queryMembers(Service))
       if (R.Primary && R.CurrentTerm > Old.PrimaryTerm)
         Leader = R;
--- a/src/pool/ServicePool.cpp
+++ b/src/pool/ServicePool.cpp
@@ -128,6 +128,10 @@
     LogPrimary = Newer.Primary;
     LogTerm = Newer.PrimaryTerm;
   }
+  const bool Confirmed = SamePrimary && !Newer.Changing && !Record.Changing &&
+                         Newer.PrimaryIncarnation == Record.PrimaryIncarnation;
+  if (!Confirmed)
+    UseBegan = Newer.Epoch;
   Record = Newer;
   wakeWaiters(Now);
 }
@@ -148,7 +152,7 @@
 }
 
 bool ServicePool::mayAcknowledge(std::uint64_t Epoch, Time Now) const {
-  return Epoch == Record.Epoch && !Record.Changing &&
+  return Epoch >= UseBegan && Epoch <= Record.Epoch && !Record.Changing &&
          Record.Epoch >= Shared.TrustedFrom && RelinquishedEpoch < Epoch &&
          Shared.Lease.isValid(Now);
 }
--- a/src/pool/ServicePool.h
+++ b/src/pool/ServicePool.h
@@ -221,6 +221,9 @@
   std::uint64_t RelinquishedEpoch = 0;
   /// Highest epoch whose primary receives no new statements.
   std::uint64_t NoNewWorkEpoch = 0;
+  /// First epoch of the present use of the primary, which later records have
+  /// confirmed.
+  std::uint64_t UseBegan = 0;
   std::map<std::string, MemberState, std::less<>> Members;
   freshness::PrimaryPositions Positions;
   LatencyEstimate Latency;
--- /dev/null
+++ b/src/pool/ServicePoolTest.cpp
@@ -0,0 +1,79 @@
+#include "pool/ServicePool.h"
+
+#include "runtime/Clock.h"
+#include "telemetry/Log.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <sstream>
+
+namespace borageridge::pool {
+namespace {
+
+using cluster::GroupRecord;
+using cluster::makeEpoch;
+
+// Tests when the primary may be used and its answers be acknowledged.
+class ServicePoolTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ServicePoolTest);
+  CPPUNIT_TEST(recordThatConfirmsThePrimaryKeepsStatementsInWork);
+  CPPUNIT_TEST(recordOfAnotherPrimaryEndsStatementsInWork);
+  CPPUNIT_TEST(relinquishedStatementsStayEndedWhenThePrimaryIsConfirmed);
+  CPPUNIT_TEST(recordFromBeforeTheTrustedEpochPermitsNoUse);
+  CPPUNIT_TEST_SUITE_END();
+
+  runtime::asio::io_context Io;
+  std::ostringstream Lines;
+  telemetry::Log Log{"test", telemetry::LogLevel::Info, Lines};
+  cluster::LocalLease Lease;
+  PoolContext Context{Io, Log, Lease, "entry-1", "z1"};
+  ServicePool Subject{Context, "db"};
+  const Time Now = runtime::bootTime();
+
+public:
+  void setUp() override {
+    Lease.confirm(7, Now, std::chrono::seconds(60));
+    Subject.setRecord({50, 3, "p", false, 0}, Now);
+  }
+
+private:
+  // Guards against writes in doubt each time a record is written again.
+  void recordThatConfirmsThePrimaryKeepsStatementsInWork() {
+    Subject.setRecord({makeEpoch(2, 40), 3, "p", false, 0}, Now);
+    CPPUNIT_ASSERT(Subject.mayAcknowledge(50, Now));
+    CPPUNIT_ASSERT(Subject.mayAcknowledge(makeEpoch(2, 40), Now));
+    CPPUNIT_ASSERT(!Subject.mayAcknowledge(49, Now));
+  }
+
+  void recordOfAnotherPrimaryEndsStatementsInWork() {
+    for (const GroupRecord &Newer :
+         {GroupRecord{60, 4, "p", false, 0}, GroupRecord{70, 4, "q", false, 0},
+          GroupRecord{80, 4, "q", true, 0}, GroupRecord{90, 4, "q", false, 0},
+          GroupRecord{95, 4, "q", false, 1}}) {
+      const cluster::Epoch Former = Subject.record().Epoch;
+      Subject.setRecord(Newer, Now);
+      CPPUNIT_ASSERT(!Subject.mayAcknowledge(Former, Now));
+    }
+  }
+
+  void relinquishedStatementsStayEndedWhenThePrimaryIsConfirmed() {
+    runtime::spawn(Io, Subject.relinquish(50, std::chrono::milliseconds(10)));
+    Io.run();
+    Subject.setRecord({makeEpoch(2, 40), 3, "p", false, 0}, Now);
+    CPPUNIT_ASSERT(!Subject.mayAcknowledge(50, Now));
+    CPPUNIT_ASSERT(Subject.mayAcknowledge(makeEpoch(2, 40), Now));
+  }
+
+  void recordFromBeforeTheTrustedEpochPermitsNoUse() {
+    Context.TrustedFrom = makeEpoch(2, 0);
+    CPPUNIT_ASSERT(!Subject.mayUsePrimary(Now));
+    CPPUNIT_ASSERT(!Subject.mayAcknowledge(50, Now));
+    Subject.setRecord({makeEpoch(2, 40), 3, "p", false, 0}, Now);
+    CPPUNIT_ASSERT(Subject.mayUsePrimary(Now));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ServicePoolTest);
+
+} // namespace
+} // namespace borageridge::pool
