--- a/tools/model.sh
+++ b/tools/model.sh
@@ -26,7 +26,7 @@
   if [ -z "$errors" ] || grep -q -e 'Search not completed' -e 'max search depth' pan.log && [ "$result" = holds ]; then
     result=incomplete
   fi
-  printf '%-10s %-58s %-10s %12s states\n' "$model" "$*" "$result" "$states"
+  printf '%-14s %-58s %-10s %12s states\n' "$model" "$*" "$result" "$states"
   [ "$result" = "$expected" ] || { echo "expected: $expected" >&2; failed=1; }
 }
 
@@ -43,6 +43,11 @@
 check use_lease fails COUNT_FROM_ANSWER
 check use_lease fails AGREE_FIRST
 check use_lease fails LEASE_FIRST
+check restored_store holds ALL_FAULTS_OFF
+check restored_store fails NO_RESTORE_WAIT
+check restored_store fails TRUST_OLD_RECORD
+check restored_store fails COPY_WINS
+check restored_store fails RENEW_OLD_LEASE
 check settle holds AT_MOST_ONCE
 check settle holds TRUE_REFUSAL
 check settle holds TRUE_OUTCOME
