Count the departure of a member from the read before the one that shows it

What callers would see: nothing; the platform saw statements reach a primary 7.0 to 7.1 s after it had announced that it leaves (DRAIN, bound 7 s). Cause: a daemon counted the departure from the time at which it read it. When the store is away, that is late by the whole outage; after a restore the change of primary waits for 6 s more, so the limit that should stop the use did not. Change: the departure is counted from the last read that did not show it; the limit is part of mayUsePrimary. Measured: leavingPrimaryIsNotUsedTooLongIfItsEntryIsReadLate and departureDuringAnOutageCountsFromTheReadBefore failed with the old rule; entry 104, pool 41 passed.

--- a/src/entry/StoreView.cpp
+++ b/src/entry/StoreView.cpp
@@ -185,7 +185,7 @@
     if (First)
       ReachableSince = Now;
     applyMembers(Page.value(), Now);
-    MembersLoaded = true;
+    MembersReadAt = Now;
     updateLoaded(Now);
     const bool Soon = First || IsRecent || IsCoordinator || holdsConnections();
     co_await runtime::sleepFor(Soon ? MembersInterval
@@ -213,7 +213,7 @@
 }
 
 void StoreView::updateLoaded(Time Now) {
-  if (S.Loaded || !ConfigLoaded || !FleetLoaded || !MembersLoaded)
+  if (S.Loaded || !ConfigLoaded || !FleetLoaded || !MembersReadAt)
     return;
   // An entry left by this daemon's previous process shows that the store has
   // not lost the leases of the other daemons either.
@@ -396,7 +396,7 @@
   for (const auto &[Id, M] : S.Members)
     ByService[M.Service].push_back(M);
   for (const auto &[Name, Pool] : S.ByService)
-    Pool->setMembers(std::move(ByService[Name]), Now);
+    Pool->setMembers(std::move(ByService[Name]), Now, MembersReadAt);
 }
 
 void StoreView::tick(Time Now) {
--- a/src/entry/StoreView.h
+++ b/src/entry/StoreView.h
@@ -45,7 +45,8 @@
   State &S;
   bool ConfigLoaded = false;
   bool FleetLoaded = false;
-  bool MembersLoaded = false;
+  /// When the members were last read, if they were.
+  std::optional<Time> MembersReadAt;
   /// The write of the last configuration that was read.
   cluster::Epoch ConfigEpoch = 0;
   /// Era in which the daemons were last read, if they were.
--- a/src/entry/StoreViewTest.cpp
+++ b/src/entry/StoreViewTest.cpp
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(leavingMemberStaysLeavingWhileARestoredStoreHoldsItsOlderEntry);
   CPPUNIT_TEST(daemonsAreKeptUntilTheyHadTimeToRegisterAfterARestore);
   CPPUNIT_TEST(coordinatorOfBeforeARestoreIsForgotten);
+  CPPUNIT_TEST(departureDuringAnOutageCountsFromTheReadBefore);
   CPPUNIT_TEST_SUITE_END();
 
   platform::FakeStore Store{Io};
@@ -138,6 +139,26 @@
     runLoopFor(milliseconds(500));
     CPPUNIT_ASSERT_EQUAL(keyvalue::Revision(0), S.Promoter.ModRevision);
   }
+
+  void departureDuringAnOutageCountsFromTheReadBefore() {
+    S.Shared.LeavingPrimaryLimit = milliseconds(2000);
+    write(platform::ConfigKey,
+          R"({"version":1,"routes":[],"backends":[{"name":"db"}]})");
+    writeMember("ready", "primary");
+    start();
+    S.Lease.confirm(7, runtime::bootTime(), std::chrono::seconds(60));
+    pool::ServicePool &Pool = *S.ByService.at("db");
+    Pool.setRecord({1, 1, "m", false, 7}, runtime::bootTime());
+    Store.Intercept = [](const http::Request &) {
+      return std::optional(http::Response{503, "{}"});
+    };
+    writeMember("draining", "primary");
+    runLoopFor(milliseconds(1500));
+    Store.Intercept = [](const http::Request &) { return std::nullopt; };
+    runLoopFor(milliseconds(1000));
+    CPPUNIT_ASSERT(S.Members.at("m").Leaving);
+    CPPUNIT_ASSERT(!Pool.mayUsePrimary(runtime::bootTime()));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StoreViewTest);
--- a/src/pool/ServicePool.cpp
+++ b/src/pool/ServicePool.cpp
@@ -78,7 +78,10 @@
   return Record.Epoch != 0 && M.Info.Id == Record.Primary;
 }
 
-void ServicePool::setMembers(std::vector<catalog::Member> Known, Time Now) {
+// During an outage of the store a member may announce its departure long before
+// it is read, so that the time is counted from the read before.
+void ServicePool::setMembers(std::vector<catalog::Member> Known, Time Now,
+                             std::optional<Time> ChangedAfter) {
   for (auto &[Id, M] : Members)
     M.Registered = false;
   for (catalog::Member &Info : Known) {
@@ -91,7 +94,7 @@
       M.Idle.clear();
     }
     if (Info.Leaving && !M.Info.Leaving) {
-      M.LeavingSince = Now;
+      M.LeavingSince = ChangedAfter.value_or(Now);
       Shared.Log.write(entry::event::MemberLeaving, Service, Info.Id);
     }
     M.Info = std::move(Info);
@@ -146,7 +149,10 @@
 }
 
 bool ServicePool::mayUsePrimary(Time Now) const {
-  return Record.Epoch != 0 && !Record.Changing &&
+  const MemberState *M = find(Record.Primary);
+  const bool Left = M != nullptr && M->Info.Leaving &&
+                    Now - M->LeavingSince > Shared.LeavingPrimaryLimit;
+  return !Left && Record.Epoch != 0 && !Record.Changing &&
          Record.Epoch >= Shared.TrustedFrom && NoNewWorkEpoch < Record.Epoch &&
          RelinquishedEpoch < Record.Epoch && Shared.Lease.isValid(Now);
 }
@@ -161,9 +167,7 @@
   if (!M.Registered || M.Health.isSuspected(Now))
     return false;
   if (isPrimary(M))
-    return mayUsePrimary(Now) &&
-           !(M.Info.Leaving &&
-             Now - M.LeavingSince > Shared.LeavingPrimaryLimit);
+    return mayUsePrimary(Now);
   return !M.Info.Leaving;
 }
 
--- a/src/pool/ServicePool.h
+++ b/src/pool/ServicePool.h
@@ -76,7 +76,10 @@
   }
   bool isConnectionHolder() const { return IsConnectionHolder; }
   void setSpec(const catalog::ServiceSpec &NewSpec) { Spec = NewSpec; }
-  void setMembers(std::vector<catalog::Member> Known, Time Now);
+  /// ChangedAfter: the last time at which the members were known to be as they
+  /// were before; none if they were not known.
+  void setMembers(std::vector<catalog::Member> Known, Time Now,
+                  std::optional<Time> ChangedAfter = std::nullopt);
   /// Ignores a record that is not newer than the current one.
   void setRecord(const cluster::GroupRecord &Newer, Time Now);
   /// Like setRecord, but if the record starts a primary change, first waits up
@@ -91,7 +94,8 @@
   /// are not comparable.
   std::uint64_t logEpoch() const { return LogEpoch; }
 
-  /// Whether statements may currently be sent to the primary.
+  /// Whether statements may currently be sent to the primary, provided that it
+  /// answers.
   bool mayUsePrimary(Time Now) const;
   /// Whether replies of the primary to statements of this epoch may be
   /// forwarded to callers.
--- a/src/pool/ServicePoolTest.cpp
+++ b/src/pool/ServicePoolTest.cpp
@@ -12,6 +12,8 @@
 
 using cluster::GroupRecord;
 using cluster::makeEpoch;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 // Tests when the primary may be used and its answers be acknowledged.
 class ServicePoolTest : public CppUnit::TestFixture {
@@ -20,6 +22,7 @@
   CPPUNIT_TEST(recordOfAnotherPrimaryEndsStatementsInWork);
   CPPUNIT_TEST(relinquishedStatementsStayEndedWhenThePrimaryIsConfirmed);
   CPPUNIT_TEST(recordFromBeforeTheTrustedEpochPermitsNoUse);
+  CPPUNIT_TEST(leavingPrimaryIsNotUsedTooLongIfItsEntryIsReadLate);
   CPPUNIT_TEST_SUITE_END();
 
   runtime::asio::io_context Io;
@@ -32,7 +35,7 @@
 
 public:
   void setUp() override {
-    Lease.confirm(7, Now, std::chrono::seconds(60));
+    Lease.confirm(7, Now, seconds(60));
     Subject.setRecord({50, 3, "p", false, 0}, Now);
   }
 
@@ -57,7 +60,7 @@
   }
 
   void relinquishedStatementsStayEndedWhenThePrimaryIsConfirmed() {
-    runtime::spawn(Io, Subject.relinquish(50, std::chrono::milliseconds(10)));
+    runtime::spawn(Io, Subject.relinquish(50, milliseconds(10)));
     Io.run();
     Subject.setRecord({makeEpoch(2, 40), 3, "p", false, 0}, Now);
     CPPUNIT_ASSERT(!Subject.mayAcknowledge(50, Now));
@@ -71,6 +74,19 @@
     Subject.setRecord({makeEpoch(2, 40), 3, "p", false, 0}, Now);
     CPPUNIT_ASSERT(Subject.mayUsePrimary(Now));
   }
+
+  // Guards against requests to a member that announced its departure before an
+  // outage of the store, longer ago than it is known.
+  void leavingPrimaryIsNotUsedTooLongIfItsEntryIsReadLate() {
+    catalog::Member Primary;
+    Primary.Id = "p";
+    Subject.setMembers({Primary}, Now);
+    Primary.Leaving = true;
+    Subject.setMembers({Primary}, Now + seconds(3), Now);
+    const Time Last = Now + Context.LeavingPrimaryLimit;
+    CPPUNIT_ASSERT(Subject.mayUsePrimary(Last));
+    CPPUNIT_ASSERT(!Subject.mayUsePrimary(Last + milliseconds(1)));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ServicePoolTest);
