Refuse eras that leave no room for revisions

Cause: an era above 2^24 in an answer would overflow the epochs made from it, and reorder records; found by reading the change again.

--- a/src/cluster/Epoch.h
+++ b/src/cluster/Epoch.h
@@ -14,7 +14,7 @@
 /// Revisions use the lower bits. At 1,000 writes a second they suffice for 34
 /// years.
 constexpr unsigned RevisionBits = 40;
-constexpr keyvalue::Era LastEra = keyvalue::Era(1) << (64 - RevisionBits);
+static_assert(keyvalue::LastEra <= keyvalue::Era(1) << (64 - RevisionBits));
 
 /// Equals the revision in the first era.
 constexpr Epoch makeEpoch(keyvalue::Era Era, keyvalue::Revision Revision) {
--- a/src/cluster/Records.cpp
+++ b/src/cluster/Records.cpp
@@ -39,7 +39,7 @@
   GroupRecord Result;
   // Records of the first era may lack it.
   const keyvalue::Era Era = Object.value("era", keyvalue::FirstEra);
-  if (Era < keyvalue::FirstEra || Era > LastEra)
+  if (Era < keyvalue::FirstEra || Era > keyvalue::LastEra)
     return BadRecord;
   Result.Epoch = makeEpoch(Era, Changed);
   Result.PrimaryTerm = Object["term"].get<Term>();
--- a/src/keyvalue/KeyValue.h
+++ b/src/keyvalue/KeyValue.h
@@ -16,6 +16,8 @@
 using Era = std::uint64_t;
 /// The era of a store that has never been restored, or that does not state it.
 constexpr Era FirstEra = 1;
+/// Higher numbers are no eras; they leave no room for revisions in an epoch.
+constexpr Era LastEra = Era(1) << 24;
 using LeaseId = std::uint64_t;
 
 enum class ReadMode {
