--- a/src/entry/Coordinator.cpp
+++ b/src/entry/Coordinator.cpp
@@ -214,14 +214,13 @@
 Task<void> Coordinator::handleChange(std::string Service, Cause Reason) {
   const Time Start = bootTime();
   bool Done = false;
-  if (Reason == Cause::NoRecord)
+  if (Reason == Cause::NoRecord) {
     Done = co_await createRecord(Service);
-  else if (Reason == Cause::Restarted && co_await confirmRestarted(Service))
-    Done = true;
-  else if (Reason == Cause::Restored && co_await confirmRestored(Service))
-    Done = true;
-  else
-    Done = co_await changePrimary(Service, Reason);
+  } else {
+    Done = co_await confirmRecord(Service, Reason);
+    if (!Done)
+      Done = co_await changePrimary(Service, Reason);
+  }
   if (Done) {
     const GroupRecord &Record = S.Records[Service];
     S.Log.write(event::ChangeCompleted, Service, Record.Primary,
--- a/src/entry/Coordinator.h
+++ b/src/entry/Coordinator.h
@@ -40,6 +40,7 @@
                         std::vector<change::PrimaryReport> &Reports, Time Now);
   runtime::Task<void> handleChange(std::string Service, change::Cause Reason);
   runtime::Task<bool> createRecord(std::string Service);
+  runtime::Task<bool> confirmRecord(std::string Service, change::Cause Reason);
   runtime::Task<bool> confirmRestarted(std::string Service);
   runtime::Task<bool> confirmRestored(std::string Service);
   runtime::Task<Expected<keyvalue::Revision>>
--- a/src/entry/PrimaryChange.cpp
+++ b/src/entry/PrimaryChange.cpp
@@ -195,6 +195,15 @@
   co_return true;
 }
 
+// Writes the record again if the cause permits it without a change of primary.
+Task<bool> Coordinator::confirmRecord(std::string Service, Cause Reason) {
+  if (Reason == Cause::Restarted)
+    co_return co_await confirmRestarted(Service);
+  if (Reason == Cause::Restored)
+    co_return co_await confirmRestored(Service);
+  co_return false;
+}
+
 // Waits until every registered daemon has relinquished the old primary or its
 // lease has ended.
 Task<bool> Coordinator::revokeOldPrimary(std::string Service,
