--- /dev/null
+++ b/review/standins/Group.h
@@ -0,0 +1,111 @@
+#ifndef BORAGERIDGE_REVIEW_GROUP_H
+#define BORAGERIDGE_REVIEW_GROUP_H
+
+#include "Record.h"
+#include "Store.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace review {
+
+/// Stand-in of the members of one service, each of which listens on its own
+/// port, and of the platform's promotion call.
+class Group {
+public:
+  struct Settings {
+    std::string Service = "ledger";
+    std::string Ip;
+    std::string Zone;
+    std::size_t Members = 3;
+    std::size_t SyncReplicas = 0;
+    std::size_t Slots = 3;
+    Milliseconds Lag{20};
+    Milliseconds PromoteTime{600};
+    Milliseconds HeartbeatInterval{1200};
+  };
+
+  Group(Settings Wanted, Store &Registry, Record &Log);
+
+  /// Called with the ids of the writes in the log of a member when it becomes
+  /// the primary.
+  using PromotionHandler = std::function<void(const std::string &Member,
+                                              const std::set<std::string> &)>;
+  PromotionHandler OnPromotion = [](const std::string &,
+                                    const std::set<std::string> &) {};
+
+  void servePromotions(Socket Connection);
+
+  std::size_t primary();
+  /// While deaf, a replica receives nothing.
+  void setDeaf(std::size_t Member, bool Deaf);
+  void announceDraining(std::size_t Member);
+  std::string id(std::size_t Member) const { return Members[Member]->Id; }
+  std::size_t logSize(std::size_t Member);
+
+private:
+  struct Entry {
+    std::uint64_t Term;
+    std::string Statement;
+    Clock::time_point At;
+
+    bool operator==(const Entry &Other) const {
+      return Term == Other.Term && Statement == Other.Statement;
+    }
+  };
+  struct Member {
+    std::string Id;
+    std::uint16_t Port = 0;
+    bool Leads = false;
+    bool Deaf = false;
+    bool Draining = false;
+    std::uint64_t Term = 1;
+    std::vector<Entry> Log;
+    std::uint64_t Sequence = 0;
+    std::size_t Connections = 0;
+  };
+  struct Session {
+    bool InTransaction = false;
+    std::vector<std::string> Writes;
+  };
+
+  void serve(std::size_t Index, Socket Connection);
+  /// No answer: the connection is closed.
+  std::optional<std::string> execute(Member &Self, Session &Open,
+                                     const std::string &Line);
+  std::optional<std::string> run(Member &Self, Session &Open,
+                                 const std::string &Id, const std::string &Text,
+                                 std::unique_lock<std::mutex> &Guard);
+  bool commit(Member &Self, const std::vector<std::string> &Writes,
+              std::unique_lock<std::mutex> &Guard);
+  bool isReplicated(const Member &From, std::size_t Size) const;
+  std::string ready(const Member &Self, const Session &Open) const;
+  std::string complete(const Member &Self, const Session &Open,
+                       const std::string &Rows = "");
+  std::string status(const Member &Self) const;
+  std::string position(const Member &Self) const;
+  Member *leader();
+  void replicate();
+  void report(Member &Self);
+  void promote(const std::string &Id);
+
+  Settings Given;
+  Store &Registry;
+  Record &Log;
+  std::mutex Lock;
+  std::condition_variable Replicated;
+  std::vector<std::unique_ptr<Member>> Members;
+  std::uint64_t Signatures = 0;
+  std::int64_t Born = 0;
+};
+
+} // namespace review
+
+#endif // BORAGERIDGE_REVIEW_GROUP_H
