--- a/review/standins/Caller.cpp
+++ b/review/standins/Caller.cpp
@@ -28,6 +28,7 @@
     return Result;
   Id = Client + "x" + std::to_string(++Count);
   Log.write("client sends " + Id + " " + Text);
+  OnSend(Id);
   if (!Connection.send("QUERY " + Id + " " + Text + "\r\n")) {
     Connection.close();
     return Result;
--- a/review/standins/Caller.h
+++ b/review/standins/Caller.h
@@ -3,6 +3,7 @@
 
 #include "Record.h"
 
+#include <functional>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -42,6 +43,8 @@
   };
   /// Sends one statement outside a transaction under a new id.
   Outcome ask(const std::string &Database, const std::string &Text);
+  /// Called with the id of a statement right before its first byte is sent.
+  std::function<void(const std::string &)> OnSend = [](const std::string &) {};
   const std::string &lastId() const { return Id; }
 
 private:
--- a/review/standins/Fleet.cpp
+++ b/review/standins/Fleet.cpp
@@ -51,8 +51,17 @@
   return Given.Subnet + "." + std::to_string(Daemon + 1);
 }
 
+void Fleet::setProxies(std::vector<std::string> Stores,
+                       std::vector<std::string> Peers) {
+  StoreProxies = std::move(Stores);
+  PeerProxies = std::move(Peers);
+}
+
 void Fleet::writeSettings(std::size_t Daemon) const {
   const std::string Ip = ip(Daemon);
+  const std::string Advertised = PeerProxies.empty() ? Ip : PeerProxies[Daemon];
+  const std::string Store =
+      StoreProxies.empty() ? Given.Store : StoreProxies[Daemon];
   const auto At = [&](std::uint16_t Port) {
     return "\"" + Ip + ":" + std::to_string(Port) + "\"\n";
   };
@@ -60,7 +69,7 @@
   Out << "node_name = \"client_facing-zone-" << Daemon + 1 << "\"\n"
       << "role = \"entry\"\nmachine_class = \"client_facing\"\n"
       << "serves = [\"client_facing\", \"control_plane\"]\n"
-      << "ip = \"" << Ip << "\"\nzone = \"zone-" << Daemon + 1 << "\"\n"
+      << "ip = \"" << Advertised << "\"\nzone = \"zone-" << Daemon + 1 << "\"\n"
       << "region = \"region\"\ninternal_ports = [" << Internal << ", "
       << Internal + 15 << "]\nseeds = ["
       << "\"" << ip(0) << ":" << Control
@@ -77,7 +86,7 @@
       << "drain_ms = 7000\ngrace_s = 6\nlost_slack_ms = 200\n"
       << "config_ms = 3000\nback_ms = 250\nmax_skew_ms = 12000\n"
       << "recovery_s = 12\nrequire_fencing = false\nthaw_slack_ms = 300\n"
-      << "[platform]\naddress = \"" << Given.Store << "\"\nform = \"kv\"\n"
+      << "[platform]\naddress = \"" << Store << "\"\nform = \"kv\"\n"
       << "writes_per_s = 400\nreads_per_s = 2000\nhistory_s = 20\n"
       << "value_bytes = 1048576\nttl_min_ms = 1000\n"
       << "[cloud_api]\naddress = \"" << Given.Promotion << "\"\n"
--- a/review/standins/Fleet.h
+++ b/review/standins/Fleet.h
@@ -40,12 +40,20 @@
   std::size_t size() const { return Given.Daemons; }
   std::string ip(std::size_t Daemon) const;
   std::uint16_t frontend() const { return Frontend; }
+  /// The first of two ports that daemons use among themselves.
+  std::uint16_t internal() const { return Internal; }
+  void setProxies(std::vector<std::string> Stores,
+                  std::vector<std::string> Peers);
 
 private:
   void stopAll();
   void writeSettings(std::size_t Daemon) const;
 
   Settings Given;
+  /// By daemon, if it reaches the store through a proxy.
+  std::vector<std::string> StoreProxies;
+  /// By daemon, if its peers reach it through a proxy.
+  std::vector<std::string> PeerProxies;
   Record &Log;
   std::uint16_t Frontend = 0;
   std::uint16_t Readiness = 0;
--- a/review/standins/Group.cpp
+++ b/review/standins/Group.cpp
@@ -99,6 +99,13 @@
   return Result;
 }
 
+std::set<std::string> Group::writesIn(const Member &Self) {
+  std::set<std::string> Result;
+  for (const Entry &E : Self.Log)
+    Result.insert(E.Statement);
+  return Result;
+}
+
 void Group::replicate() {
   const std::lock_guard Guard(Lock);
   const Member *From = leader();
@@ -170,16 +177,13 @@
     return;
   New->Leads = true;
   New->Term = Highest + 1;
-  std::set<std::string> Held;
-  for (const Entry &E : New->Log)
-    Held.insert(E.Statement);
   Log.write("promote of " + Id + " took effect in term " +
             std::to_string(New->Term) + " with a log of " +
             std::to_string(New->Log.size()) + " commits" +
             (Old == nullptr ? ""
                             : "; the old primary " + Old->Id + " has " +
                                   std::to_string(Old->Log.size())));
-  OnPromotion(Id, Held);
+  OnPromotion(Id, writesIn(*New));
   report(*New);
   if (Old != nullptr)
     std::thread([this, Old] {
@@ -314,6 +318,7 @@
   }
   if (Verb == "READ") {
     Log.write("member " + Self.Id + " runs read " + Id);
+    OnRead(Self.Id, Id, writesIn(Self));
     return complete(Self, Open);
   }
   if (Verb == "BEGIN") {
--- a/review/standins/Group.h
+++ b/review/standins/Group.h
@@ -41,6 +41,13 @@
   PromotionHandler OnPromotion = [](const std::string &,
                                     const std::set<std::string> &) {};
 
+  /// Called with the ids of the writes in the log of a member that runs a read.
+  using ReadHandler =
+      std::function<void(const std::string &Member, const std::string &Read,
+                         const std::set<std::string> &)>;
+  ReadHandler OnRead = [](const std::string &, const std::string &,
+                          const std::set<std::string> &) {};
+
   void servePromotions(Socket Connection);
 
   std::size_t primary();
@@ -92,6 +99,7 @@
   std::string status(const Member &Self) const;
   std::string position(const Member &Self) const;
   Member *leader();
+  static std::set<std::string> writesIn(const Member &Self);
   void replicate();
   void report(Member &Self);
   void promote(const std::string &Id);
--- a/review/standins/Store.cpp
+++ b/review/standins/Store.cpp
@@ -35,6 +35,11 @@
 void Store::serve(Socket Connection) {
   while (const auto Request = readRequest(Connection)) {
     std::this_thread::sleep_for(AnswerTime);
+    if (IsLate(*Request)) {
+      std::this_thread::sleep_for(LateBy);
+      handle(*Request);
+      return;
+    }
     const Answer Result = handle(*Request);
     if (!sendResponse(Connection, Result.first, Result.second.dump()))
       return;
--- a/review/standins/Store.h
+++ b/review/standins/Store.h
@@ -7,6 +7,7 @@
 
 #include <condition_variable>
 #include <deque>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <set>
@@ -23,6 +24,13 @@
 
   /// Serves one connection of a daemon.
   void serve(Socket Connection);
+  /// Selects requests that the store executes LateBy after their arrival and
+  /// does not answer. A connection on which an answer is lost returns nothing
+  /// further.
+  std::function<bool(const HttpRequest &)> IsLate = [](const HttpRequest &) {
+    return false;
+  };
+  Milliseconds LateBy{3000};
   /// Writes a key as the operator or a member does; an empty value removes it.
   void put(const std::string &Key, const std::string &Value);
   std::vector<std::string> keys(const std::string &Prefix);
