--- a/review/standins/Group.cpp
+++ b/review/standins/Group.cpp
@@ -14,7 +14,6 @@
 constexpr Milliseconds SessionLimit(600000);
 // An old primary follows the new one after a second.
 constexpr Milliseconds FollowTime(1000);
-constexpr std::size_t MaxConnections = 32;
 
 std::string takeWord(std::string &Text) {
   const std::size_t Blank = Text.find(' ');
@@ -210,7 +209,7 @@
     if (!IsStart || Service != Given.Service ||
         (!Rest.empty() && Rest != Self.Id))
       Greeting = error("MISROUTED", Self.Id);
-    else if (Self.Connections >= MaxConnections)
+    else if (Self.Connections >= Given.MaxConnections)
       Greeting = error("TOOMANY", Self.Id);
     else
       Greeting = ready(Self, Open);
@@ -289,6 +288,18 @@
   return Self.Leads && Self.Term == Term;
 }
 
+void Group::work(Member &Self, std::unique_lock<std::mutex> &Guard) {
+  if (Given.Work == Milliseconds(0))
+    return;
+  SlotFree.wait(Guard, [&] { return Self.Working < Given.Slots; });
+  ++Self.Working;
+  Guard.unlock();
+  std::this_thread::sleep_for(Given.Work);
+  Guard.lock();
+  --Self.Working;
+  SlotFree.notify_all();
+}
+
 std::optional<std::string> Group::run(Member &Self, Session &Open,
                                       const std::string &Id,
                                       const std::string &Text,
@@ -319,6 +330,7 @@
   if (Verb == "READ") {
     Log.write("member " + Self.Id + " runs read " + Id);
     OnRead(Self.Id, Id, writesIn(Self));
+    work(Self, Guard);
     return complete(Self, Open);
   }
   if (Verb == "BEGIN") {
--- a/review/standins/Group.h
+++ b/review/standins/Group.h
@@ -27,6 +27,9 @@
     std::size_t Members = 3;
     std::size_t SyncReplicas = 0;
     std::size_t Slots = 3;
+    std::size_t MaxConnections = 32;
+    /// How long a read occupies one of the slots; further ones wait.
+    Milliseconds Work{0};
     Milliseconds Lag{20};
     Milliseconds PromoteTime{600};
     Milliseconds HeartbeatInterval{1200};
@@ -77,6 +80,7 @@
     std::vector<Entry> Log;
     std::uint64_t Sequence = 0;
     std::size_t Connections = 0;
+    std::size_t Working = 0;
   };
   struct Session {
     bool InTransaction = false;
@@ -90,6 +94,7 @@
   std::optional<std::string> run(Member &Self, Session &Open,
                                  const std::string &Id, const std::string &Text,
                                  std::unique_lock<std::mutex> &Guard);
+  void work(Member &Self, std::unique_lock<std::mutex> &Guard);
   bool commit(Member &Self, const std::vector<std::string> &Writes,
               std::unique_lock<std::mutex> &Guard);
   bool isReplicated(const Member &From, std::size_t Size) const;
@@ -109,6 +114,7 @@
   Record &Log;
   std::mutex Lock;
   std::condition_variable Replicated;
+  std::condition_variable SlotFree;
   std::vector<std::unique_ptr<Member>> Members;
   std::uint64_t Signatures = 0;
   std::int64_t Born = 0;
