--- a/review/standins/Group.cpp
+++ b/review/standins/Group.cpp
@@ -36,6 +36,7 @@
   for (std::size_t I = 0; I < Given.Members; ++I) {
     auto Self = std::make_unique<Member>();
     Self->Id = "i-" + Given.Service + std::to_string(I + 1);
+    Self->Zone = Given.ZoneEach ? "zone-" + std::to_string(I + 1) : Given.Zone;
     Self->Leads = I == 0;
     Members.push_back(std::move(Self));
   }
@@ -132,7 +133,7 @@
 void Group::report(Member &Self) {
   const Json Entry = {{"backend", Given.Service},
                       {"address", Given.Ip + ":" + std::to_string(Self.Port)},
-                      {"zone", Given.Zone},
+                      {"zone", Self.Zone},
                       {"version", "v1"},
                       {"capacity", Given.Slots},
                       {"state", Self.Draining ? "draining" : "ready"},
@@ -144,22 +145,27 @@
 }
 
 void Group::servePromotions(Socket Connection) {
-  while (const auto Request = readRequest(Connection)) {
-    const Json Body = Json::parse(Request->Body, nullptr, false);
-    const std::string Wanted = Body.value("id", "");
-    Log.write("promote " + Wanted + " called by " + Request->Holder +
-              " with token " + Request->Token);
-    const bool Known =
-        std::any_of(Members.begin(), Members.end(),
-                    [&](const auto &Self) { return Self->Id == Wanted; });
-    if (!sendResponse(Connection, Known ? 200 : 409, "{}"))
+  while (const auto Request = readRequest(Connection))
+    if (!sendResponse(Connection, callPromotion(*Request), "{}"))
       return;
-    if (Known)
-      std::thread([this, Wanted] {
-        std::this_thread::sleep_for(Given.PromoteTime);
-        promote(Wanted);
-      }).detach();
-  }
+}
+
+int Group::callPromotion(const HttpRequest &Request) {
+  const Json Body = Json::parse(Request.Body, nullptr, false);
+  const std::string Wanted = Body.value("id", "");
+  Log.write("promote " + Wanted + " called by " + Request.Holder +
+            " with token " + Request.Token);
+  const bool Known =
+      std::any_of(Members.begin(), Members.end(),
+                  [&](const auto &Self) { return Self->Id == Wanted; });
+  if (!Known)
+    return 409;
+  std::thread([this, Wanted] {
+    std::this_thread::sleep_for(Given.PromoteTime);
+    promote(Wanted);
+  }).detach();
+  OnPromotionCall(Request.Holder);
+  return 200;
 }
 
 void Group::promote(const std::string &Id) {
@@ -201,7 +207,8 @@
   std::string Rest = *First;
   const bool IsStart = takeWord(Rest) == "START";
   const std::string Service = takeWord(Rest);
-  takeWord(Rest);
+  const std::string Who = takeWord(Rest);
+  const bool IsNear = Who.ends_with(Self.Zone);
   Session Open;
   std::string Greeting;
   {
@@ -219,6 +226,8 @@
   if (!Connection.send(Greeting) || !Greeting.starts_with("READY"))
     return;
   while (const auto Line = Connection.readLine(SessionLimit)) {
+    std::this_thread::sleep_for(IsNear ? Given.NearRoundTrip
+                                       : Given.FarRoundTrip);
     const std::optional<std::string> Answer = execute(Self, Open, *Line);
     if (!Answer || !Connection.send(*Answer))
       break;
@@ -280,6 +289,8 @@
   for (const std::string &Statement : Writes) {
     Self.Log.push_back({Term, Statement, Clock::now()});
     Log.write("member " + Self.Id + " runs write " + Statement);
+    if (leader() != &Self)
+      OnOldPrimaryCommit(Self.Id, Statement);
   }
   const std::size_t Size = Self.Log.size();
   Replicated.wait(Guard, [&] {
--- a/review/standins/Group.h
+++ b/review/standins/Group.h
@@ -24,6 +24,11 @@
     std::string Service = "ledger";
     std::string Ip;
     std::string Zone;
+    /// If set, each member is in a zone of its own with this number.
+    bool ZoneEach = false;
+    /// Way to callers of the same zone and of others, and back.
+    std::chrono::microseconds NearRoundTrip{0};
+    std::chrono::microseconds FarRoundTrip{0};
     std::size_t Members = 3;
     std::size_t SyncReplicas = 0;
     std::size_t Slots = 3;
@@ -51,7 +56,17 @@
   ReadHandler OnRead = [](const std::string &, const std::string &,
                           const std::set<std::string> &) {};
 
+  /// Called with the name of the daemon that calls for a promotion.
+  std::function<void(const std::string &Holder)> OnPromotionCall =
+      [](const std::string &) {};
+  /// Called with the id of a write that a member commits although another one
+  /// leads a newer term.
+  std::function<void(const std::string &Member, const std::string &Write)>
+      OnOldPrimaryCommit = [](const std::string &, const std::string &) {};
+
   void servePromotions(Socket Connection);
+  /// Returns the status of the answer.
+  int callPromotion(const HttpRequest &Request);
 
   std::size_t primary();
   /// While deaf, a replica receives nothing.
@@ -72,6 +87,7 @@
   };
   struct Member {
     std::string Id;
+    std::string Zone;
     std::uint16_t Port = 0;
     bool Leads = false;
     bool Deaf = false;
