Accept only the member that was named last as the new primary

Planned work is enough: a rolling restart beside the replacement of a primary.

Cause: two promotions on their way, and nothing that says which was called for last. A coordinator that was told to stop ended its lease with its call under way, the next one chose anew, and the one after took any member that led a newer term for the result.

Change: the record of a change names its candidate, written under conditions before the call. Whoever continues the change accepts and promotes only that member, unless it cannot take over. A stopping coordinator completes its change first and ends its lease only after its calls. A call is sent only while the lease outlasts it, and cut off with its undelivered bytes. A coordinator whose own entry is gone leaves the role. A call that the platform did not execute is repeated instead of waited for.

Why it works: of several promotions the one called for last takes effect last, so only that member stays the leader.

Mixed versions stay open.

--- a/src/change/ChangePolicy.cpp
+++ b/src/change/ChangePolicy.cpp
@@ -45,7 +45,10 @@
 // While the old primary responds, every replica can still catch up with it, so
 // a replica that is not leaving is preferred regardless of its log.
 bool isBetterCandidate(const MemberReport &A, const MemberReport &B,
-                       bool OldPrimaryReported) {
+                       const CandidateRules &Rules, bool OldPrimaryReported) {
+  if (Rules.SyncReplicas == 0 &&
+      (A.Member == Rules.Failed) != (B.Member == Rules.Failed))
+    return B.Member == Rules.Failed;
   if (OldPrimaryReported && A.Leaving != B.Leaving)
     return !A.Leaving;
   return std::pair(A.Received, !A.Leaving) > std::pair(B.Received, !B.Leaving);
@@ -119,6 +122,22 @@
   return Cause::None;
 }
 
+// Only the member that was named last stays the leader: the promotions of
+// others were called for earlier, so that this one still takes the role from
+// them.
+std::optional<MemberReport> findNewLeader(std::span<const MemberReport> Reports,
+                                          Term OldTerm,
+                                          std::string_view Candidate) {
+  const MemberReport *Best = nullptr;
+  for (const MemberReport &Report : Reports) {
+    const bool MayStay = Candidate.empty() || Report.Member == Candidate;
+    if (MayStay && Report.Primary && Report.CurrentTerm > OldTerm &&
+        (Best == nullptr || Report.CurrentTerm > Best->CurrentTerm))
+      Best = &Report;
+  }
+  return Best == nullptr ? std::nullopt : std::optional(*Best);
+}
+
 // An acknowledged commit is in the log of the old primary and of at least
 // SyncReplicas replicas. Any Replicas - SyncReplicas + 1 replicas therefore
 // include one that has it.
@@ -135,7 +154,8 @@
     if (Report.Member == Rules.OldPrimary)
       continue;
     ++Reported;
-    if (Best == nullptr || isBetterCandidate(Report, *Best, OldPrimaryReported))
+    if (Best == nullptr ||
+        isBetterCandidate(Report, *Best, Rules, OldPrimaryReported))
       Best = &Report;
   }
   if (Best == nullptr)
--- a/src/change/ChangePolicy.h
+++ b/src/change/ChangePolicy.h
@@ -77,6 +77,13 @@
   Position Received;
 };
 
+/// Returns the member that leads a newer term than OldTerm as the result of the
+/// change, if it does already. Candidate: the member that the record of the
+/// change names; empty if it names none.
+std::optional<MemberReport> findNewLeader(std::span<const MemberReport> Reports,
+                                          Term OldTerm,
+                                          std::string_view Candidate);
+
 struct CandidateRules {
   std::string OldPrimary;
   /// Registered members other than the old primary.
@@ -85,6 +92,9 @@
   std::size_t SyncReplicas = 0;
   /// Time spent waiting for the reports of all replicas.
   Duration Waited{};
+  /// A member that did not take over when it was named; empty if none. Without
+  /// synchronous replicas, any other is preferred.
+  std::string Failed = {};
 };
 
 /// Returns the member to promote, or none while more reports are needed.
--- a/src/change/ChangePolicyTest.cpp
+++ b/src/change/ChangePolicyTest.cpp
@@ -56,6 +56,9 @@
   CPPUNIT_TEST(aSilentReplicaDelaysTheChoice);
   CPPUNIT_TEST(withSynchronousReplicasEnoughMustReport);
   CPPUNIT_TEST(noAcknowledgedSynchronousCommitIsLost);
+  CPPUNIT_TEST(onlyTheCandidateIsTheNewLeader);
+  CPPUNIT_TEST(theNewestTermLeadsIfNoCandidateIsKnown);
+  CPPUNIT_TEST(anotherMemberIsPreferredToOneThatDidNotTakeOver);
   CPPUNIT_TEST_SUITE_END();
 
   std::vector<catalog::Member> Members = {member("a"), member("b"),
@@ -218,6 +221,41 @@
       RC_ASSERT(!Chosen || Chosen->Received.Index >= Acknowledged);
     }));
   }
+
+  static MemberReport leader(const std::string &Id, Term Leads) {
+    MemberReport R = report(Id, 5);
+    R.Primary = true;
+    R.CurrentTerm = Leads;
+    return R;
+  }
+
+  // Guards against a leader that the promotion of another replaces.
+  void onlyTheCandidateIsTheNewLeader() {
+    const std::vector<MemberReport> Known = {leader("b", 2), report("c", 5)};
+    CPPUNIT_ASSERT(!findNewLeader(Known, 1, "c"));
+    CPPUNIT_ASSERT_EQUAL(std::string("b"),
+                         findNewLeader(Known, 1, "b")->Member);
+    CPPUNIT_ASSERT(!findNewLeader(Known, 2, "b"));
+  }
+
+  void theNewestTermLeadsIfNoCandidateIsKnown() {
+    const std::vector<MemberReport> Known = {leader("a", 1), leader("b", 3),
+                                             leader("c", 2)};
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), findNewLeader(Known, 1, "")->Member);
+  }
+
+  void anotherMemberIsPreferredToOneThatDidNotTakeOver() {
+    const std::vector<MemberReport> Known = {report("b", 9), report("c", 5)};
+    CandidateRules Rules;
+    Rules.OldPrimary = "a";
+    Rules.Replicas = 2;
+    Rules.Failed = "b";
+    CPPUNIT_ASSERT_EQUAL(std::string("c"),
+                         chooseCandidate(Known, Rules)->Member);
+    Rules.SyncReplicas = 1;
+    CPPUNIT_ASSERT_EQUAL(std::string("b"),
+                         chooseCandidate(Known, Rules)->Member);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ChangePolicyTest);
--- a/src/cluster/Records.cpp
+++ b/src/cluster/Records.cpp
@@ -20,12 +20,14 @@
 } // namespace
 
 std::string encode(const GroupRecord &Record) {
-  return json{{"term", Record.PrimaryTerm},
-              {"primary", Record.Primary},
-              {"changing", Record.Changing},
-              {"born", Record.PrimaryIncarnation},
-              {"era", eraOf(Record.Epoch)}}
-      .dump();
+  json Object = {{"term", Record.PrimaryTerm},
+                 {"primary", Record.Primary},
+                 {"changing", Record.Changing},
+                 {"born", Record.PrimaryIncarnation},
+                 {"era", eraOf(Record.Epoch)}};
+  if (!Record.Candidate.empty())
+    Object["candidate"] = Record.Candidate;
+  return Object.dump();
 }
 
 Expected<GroupRecord> decodeGroup(std::string_view Json,
@@ -34,7 +36,8 @@
   if (!Object.is_object() || !isInteger(Object, "term") ||
       !isString(Object, "primary") || !Object.contains("changing") ||
       !Object["changing"].is_boolean() || !isInteger(Object, "born") ||
-      (Object.contains("era") && !Object["era"].is_number_unsigned()))
+      (Object.contains("era") && !Object["era"].is_number_unsigned()) ||
+      (Object.contains("candidate") && !Object["candidate"].is_string()))
     return BadRecord;
   GroupRecord Result;
   // Records of the first era may lack it.
@@ -46,6 +49,7 @@
   Result.Primary = Object["primary"].get<std::string>();
   Result.Changing = Object["changing"].get<bool>();
   Result.PrimaryIncarnation = Object["born"].get<std::int64_t>();
+  Result.Candidate = Object.value("candidate", std::string());
   return Result;
 }
 
--- a/src/cluster/Records.h
+++ b/src/cluster/Records.h
@@ -28,6 +28,10 @@
   bool Changing = false;
   /// Incarnation of the primary. Changes when it restarts without its log.
   std::int64_t PrimaryIncarnation = 0;
+  /// The member for which a promotion was last called in the change in
+  /// progress, or is about to be; empty if none. Its promotion may still take
+  /// effect.
+  std::string Candidate = {};
 
   friend bool operator==(const GroupRecord &, const GroupRecord &) = default;
 };
--- a/src/cluster/RecordsTest.cpp
+++ b/src/cluster/RecordsTest.cpp
@@ -8,6 +8,7 @@
 class RecordsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(RecordsTest);
   CPPUNIT_TEST(aGroupRecordIsRestoredByDecoding);
+  CPPUNIT_TEST(theCandidateOfAChangeIsRestoredByDecoding);
   CPPUNIT_TEST(aDaemonRecordIsRestoredByDecoding);
   CPPUNIT_TEST(aDaemonRecordWithoutAProcessorShareHasTheDefault);
   CPPUNIT_TEST(epochOfAGroupRecordDoesNotChangeWhenTheStoreIsRestored);
@@ -20,6 +21,14 @@
     CPPUNIT_ASSERT(decodeGroup(encode(Record), 12).value() == Record);
   }
 
+  void theCandidateOfAChangeIsRestoredByDecoding() {
+    const GroupRecord Record{12, 3, "i-1", true, -5, "i-2"};
+    CPPUNIT_ASSERT(decodeGroup(encode(Record), 12).value() == Record);
+    CPPUNIT_ASSERT(!decodeGroup(R"({"term":3,"primary":"a","changing":true,)"
+                                R"("born":0,"candidate":7})",
+                                12));
+  }
+
   // A copy that is some seconds old holds a record with the revision that it
   // had, so it never counts as newer than the one that replaced it.
   void epochOfAGroupRecordDoesNotChangeWhenTheStoreIsRestored() {
--- a/src/entry/Coordinator.cpp
+++ b/src/entry/Coordinator.cpp
@@ -25,6 +25,7 @@
 // Daemons try to acquire the lease in order of rank with this delay between
 // them, so that usually only one call to the store is needed.
 constexpr Duration RankDelay = std::chrono::milliseconds(60);
+constexpr Duration StopPollInterval = std::chrono::milliseconds(20);
 // Reports of peers that are older than this are ignored.
 constexpr Duration ReportLifetime = std::chrono::milliseconds(1200);
 // Shortest interval at which a peer is queried.
@@ -69,24 +70,31 @@
   return 2 * Seen >= S.Daemons.size();
 }
 
+void Coordinator::leaveRole(std::string_view Reason) {
+  S.Log.write(event::DutyLost, Reason);
+  CoordinatorLease.drop();
+  FencingToken = 0;
+}
+
+// While the daemon stops, the lease is renewed until stop() ends it.
 Task<void> Coordinator::run() {
-  while (!S.Stopping) {
+  while (!S.Stopping || FencingToken != 0) {
     const Time Now = bootTime();
-    if (S.Loaded && !isActive(Now)) {
-      if (FencingToken != 0) {
-        S.Log.write(event::DutyLost, CoordinatorLease.era() == S.Store.era()
-                                         ? "lease not renewed in time"
-                                         : "the store was restored");
-        FencingToken = 0;
-      }
-      if (mayBecomeActive(Now))
-        co_await tryBecomeActive();
-    } else if (isActive(Now)) {
+    if (isActive(Now) &&
+        S.Promoter.ModRevision != cluster::revisionOf(FencingToken))
+      leaveRole("the entry of the active coordinator is gone");
+    if (FencingToken != 0 && !isActive(Now))
+      leaveRole(CoordinatorLease.era() == S.Store.era()
+                    ? "lease not renewed in time"
+                    : "the store was restored");
+    if (isActive(Now)) {
       if (!reachesHalfOfFleet(Now) && ChangesInProgress.empty())
         co_await resign("fewer than half of the daemons reachable");
       else if (Now - RenewedAt >= LeaseRenewalInterval)
         co_await renew();
       examinePrimaries(bootTime());
+    } else if (S.Loaded && !S.Stopping && mayBecomeActive(Now)) {
+      co_await tryBecomeActive();
     }
     co_await runtime::sleepFor(ExaminationInterval);
   }
@@ -120,6 +128,8 @@
                            std::chrono::milliseconds(Grant.value().TtlMs),
                            Grant.value().StoreEra);
   RenewedAt = SentAt;
+  ActiveSince = bootTime();
+  FailedCandidates.clear();
   FencingToken = cluster::makeEpoch(Grant.value().StoreEra, Written.value());
   S.Promoter = {Key, S.Settings.InstanceName, Written.value(), Written.value(),
                 CoordinatorLease.id()};
@@ -144,22 +154,31 @@
   if (Renewed) {
     CoordinatorLease.renewed(RenewedAt);
   } else if (Renewed.error().Kind == FailureKind::NotFound) {
-    S.Log.write(event::DutyLost, "lease ended at the store");
-    CoordinatorLease.drop();
-    FencingToken = 0;
+    leaveRole("lease ended at the store");
   }
 }
 
+// The lease ends after the calls for promotions, so that none of them reaches
+// the platform after one of the next coordinator.
 Task<void> Coordinator::resign(std::string Reason) {
   if (FencingToken == 0)
     co_return;
-  S.Log.write(event::DutyLost, Reason);
-  FencingToken = 0;
   const keyvalue::LeaseId Id = CoordinatorLease.id();
-  CoordinatorLease.drop();
+  leaveRole(Reason);
+  while (CallsInFlight != 0)
+    co_await runtime::sleepFor(StopPollInterval);
   co_await endLease(Id, CoordinatorLease.era());
 }
 
+// A change that is completed here takes less time than one that another daemon
+// has to continue, and leaves no promotion under way.
+Task<void> Coordinator::stop(Time Deadline) {
+  while (isActive(bootTime()) && !ChangesInProgress.empty() &&
+         bootTime() < Deadline)
+    co_await runtime::sleepFor(StopPollInterval);
+  co_await resign("stopping");
+}
+
 change::Cause Coordinator::causeOf(const std::string &Service,
                                    pool::ServicePool &Pool,
                                    std::vector<change::PrimaryReport> &Reports,
@@ -193,7 +212,7 @@
 }
 
 void Coordinator::examinePrimaries(Time Now) {
-  if (!isActive(Now))
+  if (!isActive(Now) || S.Stopping)
     return;
   for (const auto &[Service, Pool] : S.ByService) {
     if (ChangesInProgress.contains(Service))
--- a/src/entry/Coordinator.h
+++ b/src/entry/Coordinator.h
@@ -28,9 +28,17 @@
   /// Ends the coordinator lease, so that another daemon can take over without
   /// waiting for it to expire.
   runtime::Task<void> resign(std::string Reason);
+  /// Resigns for a planned stop. Begins no change any more and completes those
+  /// in progress, but begins no further step of them after Deadline.
+  runtime::Task<void> stop(Time Deadline);
 
 private:
   bool isActive(Time Now) const;
+  /// Whether this daemon is still active in the role that it took with Token.
+  bool holdsRole(cluster::Epoch Token, Time Now) const {
+    return FencingToken == Token && isActive(Now);
+  }
+  void leaveRole(std::string_view Reason);
   bool mayBecomeActive(Time Now) const;
   bool reachesHalfOfFleet(Time Now) const;
   runtime::Task<void> tryBecomeActive();
@@ -57,8 +65,16 @@
   queryMember(std::string Service, catalog::Member Info);
   runtime::Task<std::optional<change::MemberReport>>
   selectCandidate(std::string Service, std::string Old);
+  runtime::Task<bool> nameCandidate(std::string Service, std::string Old,
+                                    cluster::GroupRecord &Changing);
   runtime::Task<std::optional<change::MemberReport>>
-  promote(std::string Service, change::MemberReport Candidate, Term OldTerm);
+  promoteCandidate(std::string Service, cluster::GroupRecord Changing,
+                   Time CallFrom);
+  enum class CallResult { Accepted, Refused, NotExecuted };
+  runtime::Task<CallResult> callForPromotion(std::string Service,
+                                             std::string Member,
+                                             cluster::Epoch Token);
+  std::int64_t incarnationOf(const std::string &Member) const;
   runtime::Task<void> endLease(keyvalue::LeaseId Id, keyvalue::Era GrantedIn);
   runtime::Task<void> stepDown(pool::ServicePool &Pool, std::string Service,
                                cluster::GroupRecord Old);
@@ -71,6 +87,13 @@
   /// The write of this daemon's entry as active coordinator; 0 if it is not.
   cluster::Epoch FencingToken = 0;
   Time RenewedAt;
+  /// When this daemon took the role.
+  Time ActiveSince;
+  /// Promotion calls that have not been answered.
+  std::size_t CallsInFlight = 0;
+  /// Candidates that did not take over although this daemon waited for them, or
+  /// that are not running; by service.
+  std::map<std::string, std::string> FailedCandidates;
   /// Services whose primary is being changed.
   std::set<std::string> ChangesInProgress;
   /// Since when the primary of a service has not claimed the role, and since
--- a/src/entry/CoordinatorTest.cpp
+++ b/src/entry/CoordinatorTest.cpp
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(endsTheLeaseIfItStopsWhileTakingTheRole);
   CPPUNIT_TEST(ignoresRenewalAnsweredAfterResigning);
   CPPUNIT_TEST(losesTheRoleWhenTheStoreIsRestored);
+  CPPUNIT_TEST(losesTheRoleWhenItsEntryIsGone);
   CPPUNIT_TEST(doesNotTakeTheRoleWhileLeasesOfBeforeARestoreMayBeValid);
   CPPUNIT_TEST(fencingTokenIncreasesThoughARestoredStoreAssignsLowerRevisions);
   CPPUNIT_TEST(writesARecordAgainThatARestoredStoreHasLost);
@@ -184,6 +185,18 @@
     CPPUNIT_ASSERT(!isCoordinatorRegistered());
   }
 
+  // Guards against a daemon that takes itself for the coordinator although
+  // another one may take the role.
+  void losesTheRoleWhenItsEntryIsGone() {
+    start();
+    runLoopFor(milliseconds(200));
+    Store.expireLeases();
+    S.Promoter = keyvalue::Item();
+    runLoopFor(milliseconds(300));
+    CPPUNIT_ASSERT(hasLogged("duty_lost"));
+    CPPUNIT_ASSERT(isCoordinatorRegistered());
+  }
+
   // The restored store does not show who holds them.
   void doesNotTakeTheRoleWhileLeasesOfBeforeARestoreMayBeValid() {
     restoreStore();
--- a/src/entry/Daemon.cpp
+++ b/src/entry/Daemon.cpp
@@ -233,7 +233,7 @@
   const Time Start = bootTime();
   S.Stopping = true;
   Log.write(event::Draining, Callers->size());
-  runtime::spawn(Io, ChangeCoordinator.resign("stopping"));
+  runtime::spawn(Io, ChangeCoordinator.stop(Start + S.Settings.StopLimit / 2));
   StopPlan Plan(Start, S.Settings.StopLimit);
   for (StopPhase Phase = StopPhase::Announce; Phase != StopPhase::End;) {
     Phase = Plan.update(bootTime(), Callers->size());
--- a/src/entry/PrimaryChange.cpp
+++ b/src/entry/PrimaryChange.cpp
@@ -26,7 +26,12 @@
 constexpr Duration CatchUpTimeout = std::chrono::milliseconds(600);
 constexpr Duration PollInterval = std::chrono::milliseconds(30);
 constexpr Duration PromoteCallTimeout = std::chrono::milliseconds(1000);
+// An accepted promotion takes effect within this time or not at all.
 constexpr Duration TakeoverTimeout = std::chrono::milliseconds(4000);
+// A promotion usually takes effect within this time.
+constexpr Duration PromotionEffectTime = std::chrono::milliseconds(1500);
+// Delay before a call that the platform has not executed is repeated.
+constexpr Duration CallRetryDelay = std::chrono::milliseconds(200);
 
 } // namespace
 
@@ -137,6 +142,11 @@
   co_return All->Reports;
 }
 
+std::int64_t Coordinator::incarnationOf(const std::string &Member) const {
+  const auto Known = S.Members.find(Member);
+  return Known == S.Members.end() ? 0 : Known->second.Incarnation;
+}
+
 Task<bool> Coordinator::createRecord(std::string Service) {
   const std::vector<MemberReport> Reports = co_await queryMembers(Service);
   const MemberReport *Best = nullptr;
@@ -148,7 +158,7 @@
   GroupRecord Record;
   Record.Primary = Best->Member;
   Record.PrimaryTerm = Best->CurrentTerm;
-  Record.PrimaryIncarnation = S.Members[Best->Member].Incarnation;
+  Record.PrimaryIncarnation = incarnationOf(Best->Member);
   if (!co_await writeRecord(Service, Record, 0))
     co_return false;
   applyRecord(S, Service, Record);
@@ -266,6 +276,9 @@
   const Time Start = bootTime();
   change::CandidateRules Rules;
   Rules.OldPrimary = Old;
+  if (const auto Failed = FailedCandidates.find(Service);
+      Failed != FailedCandidates.end())
+    Rules.Failed = Failed->second;
   for (;;) {
     pool::ServicePool *Pool = findPool(Service);
     Rules.Replicas = 0;
@@ -283,48 +296,102 @@
                           Rules.Waited > CatchUpTimeout;
     if (Best && CaughtUp)
       co_return Best;
-    if (bootTime() - Start > CandidateTimeout)
+    if (bootTime() - Start > CandidateTimeout || !isActive(bootTime()))
       co_return std::nullopt;
     co_await runtime::sleepFor(PollInterval);
   }
 }
 
-Task<std::optional<MemberReport>> Coordinator::promote(std::string Service,
-                                                       MemberReport Candidate,
-                                                       Term OldTerm) {
-  if (!isActive(bootTime()))
-    co_return std::nullopt;
-  Expected<http::Response> Answer = co_await PromotionClient.send(
-      platform::promoteRequest(Service, Candidate.Member,
-                               S.Settings.InstanceName, FencingToken),
-      PromoteCallTimeout);
-  // After a lost answer or a conflict, the status of the members shows whether
-  // the promotion took effect.
-  bool QueryAll = false;
-  if (Answer) {
-    const Expected<void> Result =
-        platform::decodePromoteResponse(Answer.value());
-    S.Log.write(event::ChangeStep, Service, "promote",
-                Result ? Candidate.Member : Result.error().Detail);
-    QueryAll = !Result;
-    if (!Result && Result.error().Kind != FailureKind::Conflict)
-      co_return std::nullopt;
-  } else {
-    S.Log.write(event::ChangeStep, Service, "promote", Answer.error().Detail);
+// The record names the member before the promotion is called for. A coordinator
+// that continues the change calls for the same member again, since the former
+// call may still take effect, unless the member cannot take over.
+Task<bool> Coordinator::nameCandidate(std::string Service, std::string Old,
+                                      GroupRecord &Changing) {
+  const auto Failed = FailedCandidates.find(Service);
+  const bool MayTakeOver =
+      !Changing.Candidate.empty() && (Failed == FailedCandidates.end() ||
+                                      Failed->second != Changing.Candidate);
+  if (MayTakeOver)
+    co_return true;
+  const auto Selected = co_await selectCandidate(Service, Old);
+  if (!Selected) {
+    S.Log.write(event::ChangeFailed, Service,
+                "no suitable replica found in time");
+    co_return false;
   }
-  const Time Start = bootTime();
-  const catalog::Member Chosen = S.Members[Candidate.Member];
-  while (bootTime() - Start < TakeoverTimeout) {
-    std::vector<MemberReport> Reports;
-    if (QueryAll)
-      Reports = co_await queryMembers(Service);
-    else if (auto Report = co_await queryMember(Service, Chosen))
-      Reports.push_back(*Report);
-    for (const MemberReport &R : Reports)
-      if (R.Primary && R.CurrentTerm > OldTerm)
-        co_return R;
+  FailedCandidates.erase(Service);
+  if (Selected->Member == Changing.Candidate)
+    co_return true;
+  GroupRecord Named = Changing;
+  Named.Candidate = Selected->Member;
+  if (!co_await writeRecord(Service, Named, Changing.Epoch))
+    co_return false;
+  Changing = Named;
+  applyRecord(S, Service, Changing);
+  S.Log.write(event::ChangeStep, Service, "candidate recorded",
+              Changing.Candidate);
+  co_return true;
+}
+
+// The lease must last as long as the call, which is cut off then: the platform
+// may not receive it after one of the next coordinator.
+Task<Coordinator::CallResult>
+Coordinator::callForPromotion(std::string Service, std::string Member,
+                              cluster::Epoch Token) {
+  ++CallsInFlight;
+  const Expected<http::Response> Answer = co_await PromotionClient.sendIf(
+      [this, Token] {
+        return holdsRole(Token, bootTime() + PromoteCallTimeout);
+      },
+      platform::promoteRequest(Service, Member, S.Settings.InstanceName, Token),
+      PromoteCallTimeout);
+  --CallsInFlight;
+  const Expected<void> Result =
+      Answer ? platform::decodePromoteResponse(Answer.value())
+             : Expected<void>(Answer.error());
+  S.Log.write(event::ChangeStep, Service, "promote",
+              Result ? Member : Result.error().Detail);
+  // After a lost answer, the status of the member shows whether the promotion
+  // took effect.
+  if (Result || Result.error().Kind == FailureKind::Unknown)
+    co_return CallResult::Accepted;
+  co_return Result.error().Kind == FailureKind::Conflict
+      ? CallResult::Refused
+      : CallResult::NotExecuted;
+}
+
+// Calls for the promotion of the candidate and waits until it leads a new term.
+Task<std::optional<MemberReport>>
+Coordinator::promoteCandidate(std::string Service, GroupRecord Changing,
+                              Time CallFrom) {
+  const cluster::Epoch Token = FencingToken;
+  const std::string &Member = Changing.Candidate;
+  catalog::Member Info;
+  if (const auto Known = S.Members.find(Member); Known != S.Members.end())
+    Info = Known->second;
+  Info.Id = Member;
+  Time NextCall = std::max(bootTime(), CallFrom);
+  const Time Deadline = NextCall + TakeoverTimeout;
+  bool Called = false;
+  while (holdsRole(Token, bootTime()) && bootTime() < Deadline) {
+    if (!Called && bootTime() >= NextCall) {
+      const CallResult Result =
+          co_await callForPromotion(Service, Member, Token);
+      if (Result == CallResult::Refused) {
+        FailedCandidates[Service] = Member;
+        co_return std::nullopt;
+      }
+      Called = Result == CallResult::Accepted;
+      NextCall = bootTime() + CallRetryDelay;
+    }
+    const std::optional<MemberReport> Report =
+        co_await queryMember(Service, Info);
+    if (Report && Report->Primary && Report->CurrentTerm > Changing.PrimaryTerm)
+      co_return Report;
     co_await runtime::sleepFor(PollInterval);
   }
+  if (Called)
+    FailedCandidates[Service] = Member;
   co_return std::nullopt;
 }
 
@@ -357,21 +424,24 @@
   // The daemon that began the interrupted change may have promoted a member, as
   // may one whose change the store has lost.
   if (Reason == Cause::Interrupted || Reason == Cause::Restored)
-    for (const MemberReport &R : co_await queryMembers(Service))
-      if (R.Primary && R.CurrentTerm > Old.PrimaryTerm)
-        Leader = R;
-  if (!Leader) {
-    const auto Candidate = co_await selectCandidate(Service, Old.Primary);
-    if (!Candidate) {
-      S.Log.write(event::ChangeFailed, Service,
-                  "no suitable replica found in time");
-      co_return false;
-    }
+    Leader = change::findNewLeader(co_await queryMembers(Service),
+                                   Old.PrimaryTerm, Changing.Candidate);
+  if (Leader) {
+    S.Log.write(event::ChangeStep, Service, "new leader found", Leader->Member);
+  } else {
     // No daemon uses the old primary any more. Stepping down keeps it from
     // appending entries that would diverge from the new primary's log.
+    if (!co_await nameCandidate(Service, Old.Primary, Changing))
+      co_return false;
     if (!Pool->isSuspected(Old.Primary, bootTime()))
       co_await stepDown(*Pool, Service, Old);
-    Leader = co_await promote(Service, *Candidate, Old.PrimaryTerm);
+    // A promotion that a former coordinator may have called for gets the time
+    // to take effect first, so that the member does not begin two terms.
+    const bool MayBeUnderWay =
+        !Old.Candidate.empty() && Changing.Candidate == Old.Candidate;
+    Leader = co_await promoteCandidate(
+        Service, Changing,
+        MayBeUnderWay ? ActiveSince + PromotionEffectTime : Time());
   }
   if (!Leader) {
     S.Log.write(event::ChangeFailed, Service,
@@ -381,7 +451,7 @@
   GroupRecord Record;
   Record.Primary = Leader->Member;
   Record.PrimaryTerm = Leader->CurrentTerm;
-  Record.PrimaryIncarnation = S.Members[Leader->Member].Incarnation;
+  Record.PrimaryIncarnation = incarnationOf(Leader->Member);
   if (!co_await writeRecord(Service, Record, Changing.Epoch))
     co_return false;
   applyRecord(S, Service, Record);
--- a/src/entry/StoreView.cpp
+++ b/src/entry/StoreView.cpp
@@ -287,7 +287,7 @@
   } else if (Key.starts_with(cluster::DaemonPrefix)) {
     applyDaemon(Seen);
   } else if (Key == cluster::PromoterKey) {
-    if (Seen.Written.ModRevision >= S.Promoter.ModRevision || !Seen.Removed)
+    if (Seen.Written.ModRevision >= S.Promoter.ModRevision)
       S.Promoter = Seen.Removed ? Item() : Seen.Written;
   } else if (Key.starts_with(cluster::GroupPrefix) && !Seen.Removed) {
     const Expected<cluster::GroupRecord> Record =
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -65,15 +65,46 @@
   return nullptr;
 }
 
-Task<Expected<Response>> HttpClient::send(Request Message, Duration Timeout) {
+Task<Expected<std::unique_ptr<HttpClient::Connection>>>
+HttpClient::connect(Duration Timeout) {
   std::unique_ptr<Connection> Conn = takeIdleConnection();
-  if (!Conn) {
-    Conn = std::make_unique<Connection>(Io);
-    const error_code Error = co_await runtime::connectTo(
-        Conn->Socket, Server, std::min(Timeout, ConnectTimeout));
-    if (Error)
-      co_return makeFailure(FailureKind::Unavailable, Error);
+  if (Conn)
+    co_return std::move(Conn);
+  Conn = std::make_unique<Connection>(Io);
+  const error_code Error = co_await runtime::connectTo(
+      Conn->Socket, Server, std::min(Timeout, ConnectTimeout));
+  if (Error)
+    co_return makeFailure(FailureKind::Unavailable, Error);
+  co_return std::move(Conn);
+}
+
+Task<Expected<Response>> HttpClient::send(Request Message, Duration Timeout) {
+  Expected<std::unique_ptr<Connection>> Conn = co_await connect(Timeout);
+  if (!Conn)
+    co_return std::move(Conn).error();
+  co_return co_await sendAndKeep(std::move(Conn).value(), Message, Timeout);
+}
+
+// A connection that is closed with the linger time 0 discards the bytes that
+// the kernel has not delivered, which it would otherwise still retransmit.
+Task<Expected<Response>> HttpClient::sendIf(Permission IsPermitted,
+                                            Request Message, Duration Timeout) {
+  Expected<std::unique_ptr<Connection>> Made = co_await connect(Timeout);
+  if (!Made)
+    co_return std::move(Made).error();
+  std::unique_ptr<Connection> Conn = std::move(Made).value();
+  if (!IsPermitted()) {
+    Idle.push_back(std::move(Conn));
+    co_return Failure{FailureKind::Unavailable, "no longer permitted"};
   }
+  error_code Ignored;
+  Conn->Socket.set_option(runtime::tcp::socket::linger(true, 0), Ignored);
+  co_return co_await sendAndKeep(std::move(Conn), Message, Timeout);
+}
+
+Task<Expected<Response>>
+HttpClient::sendAndKeep(std::unique_ptr<Connection> Conn,
+                        const Request &Message, Duration Timeout) {
   Busy.insert(Conn.get());
   Expected<Response> Result = co_await sendOver(*Conn, Message, Timeout);
   Busy.erase(Conn.get());
