Keep the entry of a daemon on the lease that it renews

It had a valid lease and no entry, so the change did not wait for it.

Cause: the entry was put without a condition, and a registration without an answer was repeated under another lease. The first put, executed seconds late, replaced the entry by one on a lease that nobody renewed. Nothing noticed when it was removed.

Change: the put requires the entry as it was last read, a registration is repeated under the same lease until that has ended, and a daemon whose entry is gone or on another lease stops using primaries and registers again. A stop ends the lease of a registration that it interrupts. change_step says how many daemons are asked to relinquish.

Why it works: of all puts with the same condition at most one is executed, and all hang on the lease that is renewed.

--- a/src/entry/PrimaryChange.cpp
+++ b/src/entry/PrimaryChange.cpp
@@ -260,6 +260,9 @@
       ++Round->Missing;
       runtime::spawn(S.Io, Query(*this, Name, Service, Changing, Round));
     }
+    S.Log.write(event::ChangeStep, Service, "relinquish requested",
+                std::to_string(Pending) + " of " +
+                    std::to_string(Page.value().Items.size()) + " daemons");
     if (Pending == 0)
       co_return true;
     co_await Round->Ready.wait(RelinquishTimeout + QueryTimeout);
--- a/src/entry/RegistrationTest.cpp
+++ b/src/entry/RegistrationTest.cpp
@@ -26,6 +26,12 @@
   CPPUNIT_TEST(registersAgainAfterARestoreWithoutInterruptingTheUse);
   CPPUNIT_TEST(doesNotKeepALeaseIdThatARestoredStoreGaveToAnotherDaemon);
   CPPUNIT_TEST(doesNotTrustAnOldRecordAfterARestoreThatOutlastedTheLease);
+  CPPUNIT_TEST(aRegistrationThatIsExecutedLateDoesNotReplaceTheEntry);
+  CPPUNIT_TEST(keepsTheLeaseOfARegistrationWhoseAnswerWasLost);
+  CPPUNIT_TEST(replacesTheEntryOfItsFormerProcess);
+  CPPUNIT_TEST(takesANewLeaseIfTheLeaseEndsBeforeTheRegistration);
+  CPPUNIT_TEST(endsTheLeaseOfARegistrationThatAStopInterrupts);
+  CPPUNIT_TEST(registersAgainAtOnceWhenItsEntryIsGone);
   CPPUNIT_TEST_SUITE_END();
 
   platform::FakeStore Store{Io};
@@ -195,6 +201,91 @@
                    runtime::bootTime());
     CPPUNIT_ASSERT(Pool.mayUsePrimary(runtime::bootTime()));
   }
+
+  /// Answers the first transaction with a failure, after Executed has had it.
+  void
+  failFirstTransaction(std::function<void(const http::Request &)> Executed) {
+    Store.Intercept =
+        [this,
+         Executed](const http::Request &Call) -> std::optional<http::Response> {
+      if (Call.Target.find("kv-txn") == std::string::npos ||
+          Store.count("kv-txn") != 1)
+        return std::nullopt;
+      Executed(Call);
+      return http::Response{500, "{}"};
+    };
+  }
+
+  // Guards against an entry on a lease that nobody renews: it vanishes, and a
+  // change of primary does not wait for this daemon.
+  void aRegistrationThatIsExecutedLateDoesNotReplaceTheEntry() {
+    http::Request Late;
+    failFirstTransaction([&](const http::Request &Call) { Late = Call; });
+    runtime::spawn(Io, Subject.run());
+    runLoopFor(milliseconds(600));
+    CPPUNIT_ASSERT(hasLease());
+    Store.executeUnanswered(Late);
+    CPPUNIT_ASSERT_EQUAL(S.Lease.id(), Store.lease(OwnKey));
+  }
+
+  void keepsTheLeaseOfARegistrationWhoseAnswerWasLost() {
+    failFirstTransaction(
+        [&](const http::Request &Call) { Store.executeUnanswered(Call); });
+    runtime::spawn(Io, Subject.run());
+    runLoopFor(milliseconds(600));
+    CPPUNIT_ASSERT(hasLease());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Store.count("POST /v1/kv-lease"));
+    CPPUNIT_ASSERT_EQUAL(S.Lease.id(), Store.lease(OwnKey));
+  }
+
+  void replacesTheEntryOfItsFormerProcess() {
+    const keyvalue::LeaseId Former = Store.grantToAnother();
+    keyvalue::Transaction Change;
+    Change.Puts.push_back({OwnKey, "former", Former});
+    Store.commit(Change);
+    runtime::spawn(Io, Subject.run());
+    runLoopFor(milliseconds(100));
+    CPPUNIT_ASSERT(hasLease());
+    CPPUNIT_ASSERT(Store.lease(OwnKey) != Former);
+    CPPUNIT_ASSERT_EQUAL(S.Lease.id(), Store.lease(OwnKey));
+  }
+
+  void takesANewLeaseIfTheLeaseEndsBeforeTheRegistration() {
+    failFirstTransaction([&](const http::Request &) { Store.expireLeases(); });
+    runtime::spawn(Io, Subject.run());
+    runLoopFor(milliseconds(800));
+    CPPUNIT_ASSERT(hasLease());
+    CPPUNIT_ASSERT_EQUAL(S.Lease.id(), Store.lease(OwnKey));
+  }
+
+  // Guards against the entry of a process that has ended: a change of primary
+  // would wait for its lease.
+  void endsTheLeaseOfARegistrationThatAStopInterrupts() {
+    failFirstTransaction([&](const http::Request &Call) {
+      Store.executeUnanswered(Call);
+      runtime::spawn(Io, Subject.release());
+    });
+    runtime::spawn(Io, Subject.run());
+    runLoopFor(milliseconds(600));
+    CPPUNIT_ASSERT(!Store.contains(OwnKey));
+  }
+
+  // Guards against the use of a primary that is changed without asking this
+  // daemon, whatever removed its entry.
+  void registersAgainAtOnceWhenItsEntryIsGone() {
+    runtime::spawn(Io, Subject.run());
+    runLoopFor(milliseconds(200));
+    const keyvalue::LeaseId Former = S.Lease.id();
+    keyvalue::Transaction Removal;
+    Removal.Deletes.push_back(OwnKey);
+    S.Entry.seen(Store.commit(Removal), 0);
+    Subject.tick(runtime::bootTime());
+    CPPUNIT_ASSERT(!hasLease());
+    runLoopFor(milliseconds(100));
+    CPPUNIT_ASSERT(hasLease());
+    CPPUNIT_ASSERT(S.Lease.id() != Former);
+    CPPUNIT_ASSERT_EQUAL(S.Lease.id(), Store.lease(OwnKey));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RegistrationTest);
--- a/src/entry/State.h
+++ b/src/entry/State.h
@@ -5,6 +5,7 @@
 #include "change/ChangePolicy.h"
 #include "cluster/HolderTable.h"
 #include "cluster/LocalLease.h"
+#include "cluster/OwnEntry.h"
 #include "cluster/Records.h"
 #include "entry/EntryMetrics.h"
 #include "entry/Executor.h"
@@ -63,6 +64,7 @@
   std::uint64_t Incarnation = 0;
   keyvalue::StoreClient Store;
   cluster::LocalLease Lease;
+  cluster::OwnEntry Entry;
   EntryMetrics Metrics;
   pool::PoolContext Shared;
   Pools ByService;
--- a/src/entry/StoreView.cpp
+++ b/src/entry/StoreView.cpp
@@ -258,8 +258,10 @@
     apply(Removal);
   };
   if (Prefix == cluster::KeyPrefix) {
-    const auto Daemons = S.Daemons;
-    for (const auto &[Name, D] : Daemons)
+    std::set<std::string> Daemons = {S.Settings.InstanceName};
+    for (const auto &[Name, D] : S.Daemons)
+      Daemons.insert(Name);
+    for (const std::string &Name : Daemons)
       if (Now >= KeepDaemonsUntil)
         Absent(std::string(cluster::DaemonPrefix) + Name);
     Absent(std::string(cluster::PromoterKey));
@@ -359,6 +361,9 @@
 
 void StoreView::applyDaemon(const Change &Seen) {
   const std::string Name(suffix(Seen.Written.Key, cluster::DaemonPrefix));
+  if (Name == S.Settings.InstanceName)
+    S.Entry.seen(cluster::makeEpoch(S.Store.era(), Seen.Written.ModRevision),
+                 Seen.Removed ? 0 : Seen.Written.Lease);
   if (Seen.Removed) {
     S.Daemons.erase(Name);
     S.HolderRanking.remove(Name);
--- a/src/entry/StoreViewTest.cpp
+++ b/src/entry/StoreViewTest.cpp
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(daemonsAreKeptUntilTheyHadTimeToRegisterAfterARestore);
   CPPUNIT_TEST(coordinatorOfBeforeARestoreIsForgotten);
   CPPUNIT_TEST(departureDuringAnOutageCountsFromTheReadBefore);
+  CPPUNIT_TEST(noticesThatItsOwnEntryIsGone);
   CPPUNIT_TEST_SUITE_END();
 
   platform::FakeStore Store{Io};
@@ -159,6 +160,22 @@
     CPPUNIT_ASSERT(S.Members.at("m").Leaving);
     CPPUNIT_ASSERT(!Pool.mayUsePrimary(runtime::bootTime()));
   }
+
+  // The removal is read again after the history of the store was lost.
+  void noticesThatItsOwnEntryIsGone() {
+    S.Entry.written(Store.revision(), 7);
+    start();
+    CPPUNIT_ASSERT(!S.Entry.isLost());
+    write("other", "");
+    Store.Intercept =
+        [](const http::Request &Call) -> std::optional<http::Response> {
+      if (Call.Target.find("kv-watch") == std::string::npos)
+        return std::nullopt;
+      return http::Response{410, "{}"};
+    };
+    runLoopFor(milliseconds(300));
+    CPPUNIT_ASSERT(S.Entry.isLost());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StoreViewTest);
