Close busy sessions after an answer at a planned stop

Cause: every 50 ms the daemon closed the sessions that were idle at that moment. A session whose caller sends the next request right after an answer hardly ever was, and nothing closed it after the answer.

Change: once the load balancer has noticed, a session is closed right after an answer if nothing else has arrived; what has been read is answered first. Statements that begin after SIGTERM are answered before the process ends. A transaction that has had half of the limit is rolled back, its caller's next statement is told so, and its session closes 0.7 s later: before, the close could cross a COMMIT. A session that was answered or accepted less than 100 ms ago does not count as idle. `stopped` says how many sessions are unanswered.

Why it works: right after an answer a caller that waits for answers has nothing under way, and the answer by which a statement ends comes before the end of the process.

--- a/src/entry/CallerConnection.cpp
+++ b/src/entry/CallerConnection.cpp
@@ -29,12 +29,43 @@
 } // namespace
 
 // Bytes that have arrived but are not read yet may be a request.
-bool CallerConnection::isIdle() const {
+bool CallerConnection::isBetweenRequests() const {
   error_code Error;
-  return AwaitingInput && Buffer.empty() && !isInTransaction() &&
+  return Buffer.empty() && !isInTransaction() &&
          (Socket.available(Error) == 0 || Error);
 }
 
+bool CallerConnection::isIdle() const {
+  return AwaitingInput && isBetweenRequests();
+}
+
+Duration CallerConnection::waited(Time Now) const {
+  return AwaitingInput ? Now - AwaitingSince : Duration();
+}
+
+// The caller has sent nothing since, so that no request is lost by the close. A
+// session that is being set up goes on, since its caller would have to begin
+// again. Requests that have been read are answered in any case, also if the
+// caller does not wait for the answers.
+bool CallerConnection::endsAfter(statement::StatementKind Answered) const {
+  using Kind = statement::StatementKind;
+  if (!S.ClosesSessions)
+    return false;
+  if (bootTime() >= S.StatementExecutor.latestAnswer())
+    return Buffer.find("\r\n") == std::string::npos;
+  const bool SetsUp = Answered == Kind::SetVariable ||
+                      Answered == Kind::Prepare || Answered == Kind::Deallocate;
+  return !SetsUp && isBetweenRequests();
+}
+
+// The holder rolls back the transaction of a closed session.
+void CallerConnection::abortTransaction() {
+  if (Holder)
+    Holder->close();
+  else
+    S.StatementExecutor.abortWaitingTransaction(CallerSession);
+}
+
 // Called when the holder or its session is lost, and the session state with it.
 // A caller with nothing outstanding only has to connect again. One in a
 // transaction receives an error for its next statement.
@@ -78,6 +109,7 @@
     Searched = Buffer.empty() ? 0 : Buffer.size() - 1;
     const std::size_t Old = Buffer.size();
     AwaitingInput = true;
+    AwaitingSince = bootTime();
     // Waits without a read buffer to save memory, since most sessions are idle.
     error_code Error;
     co_await Socket.async_wait(runtime::tcp::socket::wait_read,
@@ -173,6 +205,7 @@
           platform::encodeFatalError(ErrorCode::Malformed, "unknown message"));
     co_return false;
   }
+  const statement::StatementKind Kind = Statement->Kind;
   statement::Reply Answer;
   if (Holder)
     Answer = co_await forward(*Statement, Text, Arrival);
@@ -182,7 +215,7 @@
   const bool Written = co_await write(platform::encodeReply(Answer));
   const bool HolderLost = Holder && !Holder->isOpen();
   co_return Written && !HolderLost &&
-      Answer.Error != ErrorCode::UnknownDatabase;
+      Answer.Error != ErrorCode::UnknownDatabase && !endsAfter(Kind);
 }
 
 // The holder executes the statement and decides its outcome. If the holder is
@@ -198,8 +231,15 @@
                                     "no such database", HolderState);
   std::string Bytes(Text);
   Bytes.append("\r\n");
-  Expected<statement::Reply, pool::CallFailure> Answer = co_await Holder->call(
-      std::move(Bytes), Route->Timeout + HolderTimeoutMargin);
+  const Duration Limit =
+      std::min(Route->Timeout + HolderTimeoutMargin,
+               S.StatementExecutor.latestAnswer() - bootTime());
+  Expected<statement::Reply, pool::CallFailure> Answer =
+      pool::CallFailure::NotSent;
+  if (Limit > Duration::zero())
+    Answer = co_await Holder->call(std::move(Bytes), Limit);
+  else
+    Holder->close();
   if (Answer) {
     HolderState = Answer.value().State;
     co_return std::move(Answer).value();
@@ -232,10 +272,12 @@
           S.Io, S.StatementExecutor.catalog().TransactionIdle);
       Idle.async_wait([Self](const error_code &Error) {
         if (!Error && Self->AwaitingInput && !Self->Holder)
-          Self->S.StatementExecutor.failTransaction(Self->CallerSession);
+          Self->S.StatementExecutor.abortWaitingTransaction(
+              Self->CallerSession);
       });
       error_code Closed;
       AwaitingInput = true;
+      AwaitingSince = bootTime();
       co_await Socket.async_wait(runtime::tcp::socket::wait_read,
                                  redirect_error(use_awaitable, Closed));
       AwaitingInput = false;
--- a/src/entry/CallerConnection.h
+++ b/src/entry/CallerConnection.h
@@ -36,6 +36,11 @@
   /// Closes the connection if it is idle and its session runs in this daemon
   /// although other daemons hold the connections of its service.
   void closeIfHeldElsewhere();
+  /// Rolls back the transaction, which waits for its caller. The next statement
+  /// is answered with that.
+  void abortTransaction();
+  /// For how long the connection has waited for input; 0 if it does not wait.
+  Duration waited(Time Now) const;
   /// Closes the connection. A statement being processed is not answered.
   void close();
 
@@ -47,6 +52,8 @@
   runtime::Task<bool> serveMessage();
   runtime::Task<const catalog::Route *> waitForRoute();
   void closeIfIdle();
+  bool isBetweenRequests() const;
+  bool endsAfter(statement::StatementKind Answered) const;
 
   runtime::Task<statement::Reply> forward(const statement::Statement &St,
                                           std::string_view Text, Time Arrival);
@@ -61,6 +68,7 @@
   std::string Buffer;
   Session CallerSession;
   bool AwaitingInput = false;
+  Time AwaitingSince;
 };
 
 } // namespace borageridge::entry
--- a/src/entry/CallerConnectionTest.cpp
+++ b/src/entry/CallerConnectionTest.cpp
@@ -32,6 +32,14 @@
   CPPUNIT_TEST(keepsLocalSessionWhileNoHolderIsReachable);
   CPPUNIT_TEST(sessionWaitsUntilTheFleetIsKnown);
   CPPUNIT_TEST(forwardedSessionDoesNotWaitForTheFleet);
+  CPPUNIT_TEST(stoppingDaemonClosesASessionAfterItsAnswer);
+  CPPUNIT_TEST(stoppingDaemonAnswersPipelinedRequestsFirst);
+  CPPUNIT_TEST(stoppingDaemonLetsATransactionEnd);
+  CPPUNIT_TEST(stoppingDaemonKeepsASessionThatIsBeingSetUp);
+  CPPUNIT_TEST(stoppingDaemonAnswersWhatItHasReadAtItsEnd);
+  CPPUNIT_TEST(callerOfAnAbortedTransactionIsTold);
+  CPPUNIT_TEST(callerOfAnAbortedForwardedTransactionIsTold);
+  CPPUNIT_TEST(forwardedStatementIsAnsweredBeforeAStopEnds);
   CPPUNIT_TEST_SUITE_END();
 
   State S{Io, settings(), tcp::endpoint(), Log};
@@ -183,6 +191,83 @@
     runLoop();
     CPPUNIT_ASSERT_EQUAL(std::string("READY I -\r\n"), received());
   }
+
+  // Guards against a busy session that is never idle when the daemon looks, and
+  // is cut when the process ends.
+  void stoppingDaemonClosesASessionAfterItsAnswer() {
+    S.ClosesSessions = true;
+    CPPUNIT_ASSERT_EQUAL(std::string("COMPLETE 7.1\r\nREADY I 1.5\r\n"),
+                         ask(Write));
+    CPPUNIT_ASSERT_EQUAL(std::string("closed"), received());
+  }
+
+  void stoppingDaemonAnswersPipelinedRequestsFirst() {
+    S.ClosesSessions = true;
+    CPPUNIT_ASSERT_EQUAL(std::string("COMPLETE 7.1\r\nREADY I 1.5\r\n"
+                                     "COMPLETE 7.1\r\nREADY I 1.5\r\n"),
+                         ask(std::string(Write) + std::string(Write)));
+    CPPUNIT_ASSERT_EQUAL(std::string("closed"), received());
+  }
+
+  void stoppingDaemonLetsATransactionEnd() {
+    connectLocally();
+    S.ClosesSessions = true;
+    ask("QUERY q1 BEGIN\r\n");
+    CPPUNIT_ASSERT_EQUAL(std::string(), received());
+    CPPUNIT_ASSERT_EQUAL(std::string("COMPLETE -\r\nREADY I -\r\n"),
+                         ask("QUERY q2 ROLLBACK\r\n"));
+    CPPUNIT_ASSERT_EQUAL(std::string("closed"), received());
+  }
+
+  // Guards against callers that set up their session again and again, if the
+  // load balancer has no other daemon.
+  void stoppingDaemonKeepsASessionThatIsBeingSetUp() {
+    connectLocally();
+    S.ClosesSessions = true;
+    ask("QUERY q1 SET a 1\r\n");
+    CPPUNIT_ASSERT_EQUAL(std::string(), received());
+  }
+
+  // The caller does not wait for its answers.
+  void stoppingDaemonAnswersWhatItHasReadAtItsEnd() {
+    connectLocally();
+    S.ClosesSessions = true;
+    S.StatementExecutor.setLatestAnswer(runtime::bootTime());
+    const std::string Answers = ask("QUERY q1 SET a 1\r\nQUERY q2 SET a 2\r\n"
+                                    "QUERY q3 SET");
+    CPPUNIT_ASSERT_EQUAL(std::string("COMPLETE -\r\nREADY I -\r\n"
+                                     "COMPLETE -\r\nREADY I -\r\n"),
+                         Answers);
+    CPPUNIT_ASSERT_EQUAL(std::string("closed"), received());
+  }
+
+  // A promise that nothing is kept, so that the caller may begin again.
+  void callerOfAnAbortedTransactionIsTold() {
+    connectLocally();
+    ask("QUERY q1 BEGIN\r\n");
+    Subject->abortTransaction();
+    const std::string Answer = ask("QUERY q2 WRITE 1 x\r\n");
+    CPPUNIT_ASSERT(Answer.starts_with("ERROR ABORTED"));
+    CPPUNIT_ASSERT(Answer.find("READY E") != std::string::npos);
+    CPPUNIT_ASSERT(
+        ask("QUERY q3 WRITE 1 x\r\n").starts_with("ERROR MALFORMED"));
+    CPPUNIT_ASSERT(ask("QUERY q4 ROLLBACK\r\n").starts_with("COMPLETE"));
+  }
+
+  void callerOfAnAbortedForwardedTransactionIsTold() {
+    Holder.Answer = [](const std::string &) { return SuccessInTransaction; };
+    ask("QUERY q1 BEGIN\r\n");
+    Subject->abortTransaction();
+    CPPUNIT_ASSERT_EQUAL(std::string(), received());
+    CPPUNIT_ASSERT(ask("QUERY q2 COMMIT\r\n").starts_with("ERROR ABORTED"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Holder.count("COMMIT"));
+  }
+
+  void forwardedStatementIsAnsweredBeforeAStopEnds() {
+    Holder.Answer = [](const std::string &) { return ""; };
+    S.StatementExecutor.setLatestAnswer(runtime::bootTime() + milliseconds(30));
+    CPPUNIT_ASSERT(ask(Write).starts_with("ERROR INDOUBT"));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CallerConnectionTest);
--- a/src/entry/Daemon.cpp
+++ b/src/entry/Daemon.cpp
@@ -5,6 +5,7 @@
 #include "platform/Promotion.h"
 #include "runtime/Clock.h"
 
+#include <algorithm>
 #include <csignal>
 #include <utility>
 
@@ -21,6 +22,9 @@
 constexpr Duration TickInterval = std::chrono::milliseconds(50);
 constexpr Duration RebalanceInterval = std::chrono::milliseconds(700);
 constexpr Duration StopPollInterval = std::chrono::milliseconds(50);
+// A session that has just been answered or accepted is not closed by a stop
+// yet, since the next request of its caller may be under way.
+constexpr Duration MinIdleTime = std::chrono::milliseconds(100);
 constexpr Duration LeaseReleaseTime = std::chrono::milliseconds(100);
 // Pause before a task that the daemon needs is started again after an error.
 constexpr Duration TaskRestartDelay = std::chrono::milliseconds(100);
@@ -235,19 +239,26 @@
   Log.write(event::Draining, Callers->size());
   runtime::spawn(Io, ChangeCoordinator.stop(Start + S.Settings.StopLimit / 2));
   StopPlan Plan(Start, S.Settings.StopLimit);
+  S.StatementExecutor.setLatestAnswer(Plan.latestAnswer());
   for (StopPhase Phase = StopPhase::Announce; Phase != StopPhase::End;) {
     Phase = Plan.update(bootTime(), Callers->size());
     if (Phase == StopPhase::Finish)
       closeCallerListeners();
-    if (Phase == StopPhase::Drain || Phase == StopPhase::Finish)
-      closeCallers(Plan.endsTransactions(bootTime()));
+    if (Phase == StopPhase::Drain || Phase == StopPhase::Finish) {
+      S.ClosesSessions = true;
+      closeCallers(Plan, bootTime());
+    }
     co_await runtime::sleepFor(StopPollInterval);
   }
   // Ending the lease spares other daemons waiting for it to expire. The process
   // waits only briefly for the store's answer.
   runtime::spawn(Io, Registrar.release());
   co_await runtime::sleepFor(LeaseReleaseTime);
+  const auto Unanswered =
+      std::count_if(Callers->begin(), Callers->end(),
+                    [](const auto &Caller) { return Caller->isWorking(); });
   Log.write(event::Stopped, Callers->size(),
+            static_cast<std::uint64_t>(Unanswered),
             runtime::toMilliseconds(bootTime() - Start));
   Io.stop();
 }
@@ -257,12 +268,18 @@
     Open->close();
 }
 
-void Daemon::closeCallers(bool EndTransactions) {
+void Daemon::closeCallers(const StopPlan &Plan, Time Now) {
   const CallerSet Open = *Callers;
-  for (const auto &Caller : Open)
-    if (Caller->isIdle() ||
-        (EndTransactions && Caller->isInTransaction() && !Caller->isWorking()))
+  for (const auto &Caller : Open) {
+    const bool WaitsInTransaction =
+        Caller->isInTransaction() && !Caller->isWorking();
+    if (Caller->isIdle() && Caller->waited(Now) >= MinIdleTime)
+      Caller->close();
+    else if (WaitsInTransaction && Plan.closesTransactions(Now))
       Caller->close();
+    else if (WaitsInTransaction && Plan.abortsTransactions(Now))
+      Caller->abortTransaction();
+  }
 }
 
 } // namespace borageridge::entry
--- a/src/entry/Daemon.h
+++ b/src/entry/Daemon.h
@@ -47,7 +47,7 @@
   runtime::Task<void> handleSignals();
   runtime::Task<void> stop();
   void closeCallerListeners();
-  void closeCallers(bool EndTransactions);
+  void closeCallers(const StopPlan &Plan, Time Now);
   void closeSessionsOfUnreachablePeers();
   runtime::Task<void> rebalance();
   bool isReady(Time Now) const;
--- a/src/entry/DaemonTest.cpp
+++ b/src/entry/DaemonTest.cpp
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(malformedBytesOnAnyPortDoNotEndTheDaemon);
   CPPUNIT_TEST(unknownConfigurationIsNotReportedAsAnUnknownDatabase);
   CPPUNIT_TEST(connectionsAcceptedUntilTheEndOfAStopAreAnswered);
+  CPPUNIT_TEST(sessionsThatAreNeverIdleAreNotCutAtAStop);
   CPPUNIT_TEST_SUITE_END();
 
   platform::FakeStore Store{Io};
@@ -177,6 +178,70 @@
     CPPUNIT_ASSERT(hasLogged("stopped"));
   }
 
+  /// A caller that sends the next statement as soon as it has the answer to the
+  /// last one.
+  struct BusyCaller {
+    tcp::socket Socket;
+    bool Waits = false;
+    bool Closed = false;
+    unsigned Answers = 0;
+  };
+
+  void advance(BusyCaller &Caller) {
+    if (Caller.Closed)
+      return;
+    std::string Bytes(4096, 0);
+    runtime::error_code Error;
+    Bytes.resize(Caller.Socket.read_some(runtime::asio::buffer(Bytes), Error));
+    if (!Bytes.empty()) {
+      ++Caller.Answers;
+      Caller.Waits = false;
+      // The end of the connection may follow the answer.
+      char Byte = 0;
+      Caller.Socket.read_some(runtime::asio::buffer(&Byte, 1), Error);
+    }
+    if (Error && Error != runtime::asio::error::would_block) {
+      Caller.Closed = true;
+      return;
+    }
+    if (!Caller.Waits)
+      runtime::asio::write(Caller.Socket, runtime::asio::buffer(std::string(
+                                              "QUERY q1 WRITE 1 x\r\n")));
+    Caller.Waits = true;
+  }
+
+  // Load pattern: long sessions that always have a statement in work. Without a
+  // primary, each takes as long as its route allows.
+  void sessionsThatAreNeverIdleAreNotCutAtAStop() {
+    keyvalue::Transaction Change;
+    Change.Puts.push_back({"op/config", std::string(Config), 0});
+    Store.commit(Change);
+    run(milliseconds(900));
+    std::vector<BusyCaller> Callers;
+    constexpr int Sessions = 20;
+    for (int I = 0; I < Sessions; ++I) {
+      runtime::error_code Error;
+      Callers.push_back({connect(CallerPort, Error)});
+      CPPUNIT_ASSERT(!Error);
+      runtime::asio::write(Callers.back().Socket, runtime::asio::buffer(Start));
+      Callers.back().Waits = true;
+      run(milliseconds(40));
+    }
+    std::raise(SIGTERM);
+    const Time Latest = runtime::bootTime() + settings().StopLimit;
+    while (run(milliseconds(5))) {
+      CPPUNIT_ASSERT(runtime::bootTime() < Latest);
+      for (BusyCaller &Caller : Callers)
+        advance(Caller);
+    }
+    for (BusyCaller &Caller : Callers) {
+      advance(Caller);
+      CPPUNIT_ASSERT(Caller.Answers > 1);
+      CPPUNIT_ASSERT(Caller.Closed);
+      CPPUNIT_ASSERT(!Caller.Waits);
+    }
+  }
+
   runtime::error_code Ignored;
 };
 
--- a/src/entry/Events.h
+++ b/src/entry/Events.h
@@ -25,8 +25,8 @@
     "ready", LogLevel::Info, {"config_version", "services"}};
 inline constexpr EventType<Number> Draining{
     "draining", LogLevel::Info, {"sessions"}};
-inline constexpr EventType<Number, Number> Stopped{
-    "stopped", LogLevel::Info, {"sessions", "drain_ms"}};
+inline constexpr EventType<Number, Number, Number> Stopped{
+    "stopped", LogLevel::Info, {"sessions", "unanswered", "drain_ms"}};
 inline constexpr EventType<Text> SettingsReloaded{
     "settings_reloaded", LogLevel::Info, {"result"}};
 inline constexpr EventType<Text, Text> StartFailed{
--- a/src/entry/Executor.cpp
+++ b/src/entry/Executor.cpp
@@ -202,7 +202,7 @@
     co_return refuse(St, S.Database, ErrorCode::Busy, "service has no members",
                      "", None, Arrival);
   const bool Writes = writes(S, St);
-  const Time Deadline = Arrival + Route.Timeout;
+  const Time Deadline = deadlineOf(Route, Arrival);
   PlacementRequest D = demandFor(S, Route, Writes, Arrival);
   for (unsigned Count = 1;; ++Count) {
     Expected<Checkout, pool::AcquireFailure> Acquired = co_await Pool->acquire(
--- a/src/entry/Executor.h
+++ b/src/entry/Executor.h
@@ -12,6 +12,7 @@
 #include "statement/Statement.h"
 #include "telemetry/Log.h"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <optional>
@@ -39,9 +40,17 @@
                                           Time Arrival);
   /// Rolls back the open transaction, if any, and forgets it.
   void discardTransaction(Session &S);
-  /// Rolls back the open transaction because the caller was idle too long or a
-  /// statement failed; the caller's next statement is answered with an error.
+  /// Rolls back the open transaction because a statement failed, which its
+  /// answer tells the caller.
   void failTransaction(Session &S);
+  /// Rolls back the open transaction while it waits for its caller, whose next
+  /// statement is answered with that.
+  void abortWaitingTransaction(Session &S);
+
+  /// Sets the time by which every statement that begins from now on is
+  /// answered, whatever its route allows.
+  void setLatestAnswer(Time Latest) { LatestAnswer = Latest; }
+  Time latestAnswer() const { return LatestAnswer; }
   /// Returns an error that the daemon itself reports, and logs it.
   statement::Reply refuse(const statement::Statement &St,
                           std::string_view Database, statement::ErrorCode Code,
@@ -83,6 +92,10 @@
   runtime::Task<void> rollBack(pool::ServicePool &Pool,
                                pool::Checkout Connection);
   pool::ServicePool *findPool(std::string_view Service);
+  /// Time by which a statement that arrived at Arrival is answered.
+  Time deadlineOf(const catalog::Route &Route, Time Arrival) const {
+    return std::min(Arrival + Route.Timeout, LatestAnswer);
+  }
   static bool writes(const Session &S, const statement::Statement &St);
 
   runtime::asio::io_context &Io;
@@ -91,6 +104,7 @@
   EntryMetrics &Metrics;
   LogRateLimiter RequestLogLimiter;
   catalog::Catalog Config;
+  Time LatestAnswer = Time::max();
 };
 
 } // namespace borageridge::entry
--- a/src/entry/ExecutorTest.cpp
+++ b/src/entry/ExecutorTest.cpp
@@ -52,6 +52,7 @@
   CPPUNIT_TEST(discardedTransactionIsRolledBack);
   CPPUNIT_TEST(connectionHolderKeepsAnIdleConnection);
   CPPUNIT_TEST(daemonThatIsNoConnectionHolderClosesIdleConnections);
+  CPPUNIT_TEST(statementsAreAnsweredByTheLatestTime);
   CPPUNIT_TEST_SUITE_END();
 
   runtime::asio::io_context Io;
@@ -301,6 +302,18 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Primary.count("ROLLBACK"));
     CPPUNIT_ASSERT(S.Tx.CurrentPhase == Transaction::Phase::None);
   }
+
+  // Guards against a statement that is cut when the process ends before the
+  // timeout of its route.
+  void statementsAreAnsweredByTheLatestTime() {
+    Primary.Answer = [](const std::string &) { return ""; };
+    const Time Start = runtime::bootTime();
+    Subject->setLatestAnswer(Start + milliseconds(80));
+    CPPUNIT_ASSERT(run(S, Write).Error == ErrorCode::InDoubt);
+    CPPUNIT_ASSERT(run(S, Write).Error == ErrorCode::Busy);
+    CPPUNIT_ASSERT(runtime::bootTime() - Start < milliseconds(400));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Primary.count("WRITE"));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ExecutorTest);
--- a/src/entry/Session.h
+++ b/src/entry/Session.h
@@ -27,6 +27,9 @@
   Phase CurrentPhase = Phase::None;
   bool ReadOnly = false;
   bool Wrote = false;
+  /// The daemon has rolled it back while it waited for its caller, who does not
+  /// know that yet.
+  bool AbortUntold = false;
   /// When the statement that began it arrived.
   Time Arrival;
   /// The route in force when it began.
--- a/src/entry/State.h
+++ b/src/entry/State.h
@@ -99,6 +99,9 @@
   /// after an outage of the store.
   Time FleetKnownFrom;
   bool Stopping = false;
+  /// Whether sessions are closed after the answer to their statement, because
+  /// the daemon stops.
+  bool ClosesSessions = false;
 };
 
 /// Applies a record to the pool of its service if it is newer than the one
--- a/src/entry/StopPlan.cpp
+++ b/src/entry/StopPlan.cpp
@@ -11,6 +11,11 @@
 // Time for the sessions that were accepted last: longer than a statement
 // usually takes.
 constexpr Duration FinishTime = std::chrono::milliseconds(1000);
+// Time for the caller of an aborted transaction to send its next statement,
+// which is answered with the abort.
+constexpr Duration AbortNoticeTime = std::chrono::milliseconds(700);
+// Time for the last answers to be written before the process ends.
+constexpr Duration AnswerReserve = std::chrono::milliseconds(150);
 // Time left for the end of the lease and of the process before it is killed.
 constexpr Duration EndReserve = std::chrono::milliseconds(400);
 
@@ -35,8 +40,16 @@
   return Phase;
 }
 
-bool StopPlan::endsTransactions(Time Now) const {
+bool StopPlan::abortsTransactions(Time Now) const {
   return hasPassed(Now, (Limit + EndReserve) / 2);
 }
 
+bool StopPlan::closesTransactions(Time Now) const {
+  return hasPassed(Now, (Limit + EndReserve) / 2 + AbortNoticeTime);
+}
+
+Time StopPlan::latestAnswer() const {
+  return Start + std::max(Duration(), Limit - AnswerReserve);
+}
+
 } // namespace borageridge::entry
--- a/src/entry/StopPlan.h
+++ b/src/entry/StopPlan.h
@@ -12,8 +12,9 @@
   /// Not ready; serves all sessions and accepts new ones, until the load
   /// balancer has noticed.
   Announce,
-  /// Closes idle sessions; still accepts new ones, which a load balancer sends
-  /// if it has no other daemon.
+  /// Closes idle sessions, and others after the answer to their statement;
+  /// still accepts new ones, which a load balancer sends if it has no other
+  /// daemon.
   Drain,
   /// Accepts no more sessions and lets those that are open finish.
   Finish,
@@ -32,8 +33,15 @@
   /// so that the caller may act when the phase changes.
   StopPhase update(Time Now, std::size_t OpenSessions);
 
-  /// Whether open transactions that wait for their caller are ended.
-  bool endsTransactions(Time Now) const;
+  /// Whether open transactions that wait for their caller are rolled back.
+  /// Their sessions stay open for a while, so that a statement under way is
+  /// answered.
+  bool abortsTransactions(Time Now) const;
+  /// Whether sessions in a transaction that wait for their caller are closed.
+  bool closesTransactions(Time Now) const;
+  /// Time by which each statement must be answered, so that none is in work
+  /// when the process ends.
+  Time latestAnswer() const;
 
 private:
   bool hasPassed(Time Now, Duration Since) const {
--- a/src/entry/StopPlanTest.cpp
+++ b/src/entry/StopPlanTest.cpp
@@ -15,6 +15,8 @@
   CPPUNIT_TEST(sessionsThatNeverEndAreLeftAtTheLimit);
   CPPUNIT_TEST(listenerClosesEarlyEnoughForTheLastSessions);
   CPPUNIT_TEST(transactionsHaveHalfOfTheLimit);
+  CPPUNIT_TEST(callersOfAbortedTransactionsHaveTimeForTheirNextStatement);
+  CPPUNIT_TEST(statementsAreAnsweredBeforeTheProcessEnds);
   CPPUNIT_TEST(shortLimitStillPassesThroughAllPhases);
   CPPUNIT_TEST_SUITE_END();
 
@@ -63,8 +65,25 @@
   }
 
   void transactionsHaveHalfOfTheLimit() {
-    CPPUNIT_ASSERT(!Subject.endsTransactions(Start + milliseconds(2999)));
-    CPPUNIT_ASSERT(Subject.endsTransactions(Start + milliseconds(3000)));
+    CPPUNIT_ASSERT(!Subject.abortsTransactions(Start + milliseconds(2999)));
+    CPPUNIT_ASSERT(Subject.abortsTransactions(Start + milliseconds(3000)));
+  }
+
+  void callersOfAbortedTransactionsHaveTimeForTheirNextStatement() {
+    CPPUNIT_ASSERT(!Subject.closesTransactions(Start + milliseconds(3650)));
+    CPPUNIT_ASSERT(Subject.closesTransactions(Start + milliseconds(3750)));
+  }
+
+  // Guards against statements that are in work when the process ends.
+  void statementsAreAnsweredBeforeTheProcessEnds() {
+    at(2300, 1);
+    at(5000, 1);
+    const auto Latest = std::chrono::duration_cast<milliseconds>(
+        Subject.latestAnswer() - Start);
+    CPPUNIT_ASSERT(at(static_cast<int>(Latest.count()) + 100, 1) !=
+                   StopPhase::End);
+    CPPUNIT_ASSERT(Latest < milliseconds(6000));
+    CPPUNIT_ASSERT(Latest > milliseconds(5000));
   }
 
   void shortLimitStillPassesThroughAllPhases() {
--- a/src/entry/TransactionExecution.cpp
+++ b/src/entry/TransactionExecution.cpp
@@ -60,6 +60,14 @@
   S.Tx = Transaction();
 }
 
+void Executor::abortWaitingTransaction(Session &S) {
+  if (S.Tx.CurrentPhase == Transaction::Phase::None ||
+      S.Tx.CurrentPhase == Transaction::Phase::Failed)
+    return;
+  failTransaction(S);
+  S.Tx.AbortUntold = true;
+}
+
 void Executor::failTransaction(Session &S) {
   if (S.Tx.CurrentPhase == Transaction::Phase::Open)
     releaseConnection(S, false);
@@ -95,6 +103,11 @@
 Task<Reply> Executor::executeInTransaction(Session &S, const Statement &St,
                                            Time Arrival) {
   if (S.Tx.CurrentPhase == Transaction::Phase::Failed) {
+    if (St.Kind != StatementKind::Commit &&
+        std::exchange(S.Tx.AbortUntold, false))
+      co_return refuse(St, S.Database, ErrorCode::Aborted,
+                       "transaction was rolled back", "",
+                       TransactionState::Failed, Arrival);
     if (St.Kind != StatementKind::Commit)
       co_return localError(ErrorCode::Malformed, "transaction failed",
                            TransactionState::Failed);
@@ -123,7 +136,7 @@
   const catalog::Route Route = S.Tx.Route;
   ServicePool *Pool = findPool(Route.Service);
   const bool Commits = St.Kind == StatementKind::Commit;
-  const Time Deadline = Arrival + Route.Timeout;
+  const Time Deadline = deadlineOf(Route, Arrival);
   PlacementRequest D = demandFor(S, Route, !S.Tx.ReadOnly, S.Tx.Arrival);
   Attempt Result = CallFailure::NotSent;
   std::string_view Reason = "service has no members";
@@ -220,7 +233,7 @@
                                           Time Arrival) {
   ServicePool *Pool = findPool(S.Tx.Route.Service);
   const Checkout Connection = *S.Tx.Connection;
-  const Duration Limit = Arrival + S.Tx.Route.Timeout - bootTime();
+  const Duration Limit = deadlineOf(S.Tx.Route, Arrival) - bootTime();
   const bool Writes = writes(S, St);
   // Set before the statement is sent, because it may run even if its answer is
   // lost.
@@ -257,7 +270,7 @@
   ServicePool *Pool = findPool(S.Tx.Route.Service);
   const Checkout Connection = *S.Tx.Connection;
   const bool Wrote = S.Tx.Wrote;
-  const Duration Limit = Arrival + S.Tx.Route.Timeout - bootTime();
+  const Duration Limit = deadlineOf(S.Tx.Route, Arrival) - bootTime();
   Pool->reacquireSlot(Connection);
   Attempt Result =
       co_await runOnConnection(Connection, S, *Pool, St, Limit, std::nullopt);
