Decode bytes of other processes within bounds, and keep following the store

Other operators reported that one odd entry among those of the members (very deeply nested, a number too large, a port out of range) ended the processes that read the list, or made them stop following it.

Cause, here: entries were checked for a few fields only. A capacity of 2^32 wrapped around to 0, a port of 70000 named a member that could never be reached, names could hold line ends, depth was unbounded, and an odd entry left the one before it in use. No process ended in the tests. The coroutines that follow the store would not have started again after an unexpected error.

Change: common/BoundedJson bounds depth and integers for everything that is decoded from the store or a peer. A member's entry needs every field, of its type and in its range, and counts as absent otherwise. Each coroutine that follows the store is started again.

Why it works: what passes the decoder is in the range of the type that holds it, and nothing else reaches the rest of the daemon.

--- a/src/cluster/Epoch.h
+++ b/src/cluster/Epoch.h
@@ -11,9 +11,9 @@
 /// later era has the higher epoch, whatever its revision. 0 means no write.
 using Epoch = std::uint64_t;
 
-/// Revisions use the lower bits. At 1,000 writes a second they suffice for 34
-/// years.
+/// Revisions use the lower bits.
 constexpr unsigned RevisionBits = 40;
+static_assert(keyvalue::LastRevision == (Epoch(1) << RevisionBits) - 1);
 static_assert(keyvalue::LastEra <= keyvalue::Era(1) << (64 - RevisionBits));
 
 /// Equals the revision in the first era.
--- a/src/cluster/Records.cpp
+++ b/src/cluster/Records.cpp
@@ -1,7 +1,11 @@
 #include "cluster/Records.h"
 
+#include "common/BoundedJson.h"
+
 #include <nlohmann/json.hpp>
 
+#include <limits>
+
 namespace borageridge::cluster {
 namespace {
 
@@ -9,9 +13,14 @@
 
 const Failure BadRecord{FailureKind::Corrupt, "record cannot be decoded"};
 
-bool isInteger(const json &Object, const char *Key) {
-  return Object.contains(Key) && Object[Key].is_number_integer();
-}
+// Records are flat objects.
+constexpr std::size_t MaxDepth = 2;
+constexpr std::int64_t MaxNumber = std::numeric_limits<std::int64_t>::max();
+constexpr std::int64_t MinNumber = std::numeric_limits<std::int64_t>::min();
+// The port after the peer port is used as well.
+constexpr std::int64_t MaxPeerPort = 65534;
+// Thousandths of a core.
+constexpr std::int64_t MaxProcessorShare = 1000 * 1024;
 
 bool isString(const json &Object, const char *Key) {
   return Object.contains(Key) && Object[Key].is_string();
@@ -32,10 +41,14 @@
 
 Expected<GroupRecord> decodeGroup(std::string_view Json,
                                   keyvalue::Revision Changed) {
-  const json Object = json::parse(Json, nullptr, false);
-  if (!Object.is_object() || !isInteger(Object, "term") ||
-      !isString(Object, "primary") || !Object.contains("changing") ||
-      !Object["changing"].is_boolean() || !isInteger(Object, "born") ||
+  const std::optional<json> Decoded = parseJson(Json, MaxDepth);
+  if (!Decoded || !Decoded->is_object())
+    return BadRecord;
+  const json &Object = *Decoded;
+  const auto Term = integerIn(Object, "term", 0, MaxNumber);
+  const auto Born = integerIn(Object, "born", MinNumber, MaxNumber);
+  if (!Term || !Born || !isString(Object, "primary") ||
+      !Object.contains("changing") || !Object["changing"].is_boolean() ||
       (Object.contains("era") && !Object["era"].is_number_unsigned()) ||
       (Object.contains("candidate") && !Object["candidate"].is_string()))
     return BadRecord;
@@ -45,10 +58,10 @@
   if (Era < keyvalue::FirstEra || Era > keyvalue::LastEra)
     return BadRecord;
   Result.Epoch = makeEpoch(Era, Changed);
-  Result.PrimaryTerm = Object["term"].get<Term>();
+  Result.PrimaryTerm = static_cast<borageridge::Term>(*Term);
   Result.Primary = Object["primary"].get<std::string>();
   Result.Changing = Object["changing"].get<bool>();
-  Result.PrimaryIncarnation = Object["born"].get<std::int64_t>();
+  Result.PrimaryIncarnation = *Born;
   Result.Candidate = Object.value("candidate", std::string());
   return Result;
 }
@@ -64,20 +77,25 @@
 }
 
 Expected<DaemonRecord> decodeDaemon(std::string_view Json) {
-  const json Object = json::parse(Json, nullptr, false);
-  if (!Object.is_object() || !isString(Object, "name") ||
-      !isString(Object, "ip") || !isInteger(Object, "port") ||
-      !isString(Object, "availability_zone") ||
-      !isInteger(Object, "incarnation"))
+  const std::optional<json> Decoded = parseJson(Json, MaxDepth);
+  if (!Decoded || !Decoded->is_object())
+    return BadRecord;
+  const json &Object = *Decoded;
+  const auto Port = integerIn(Object, "port", 1, MaxPeerPort);
+  const bool HasIncarnation = Object.contains("incarnation") &&
+                              Object["incarnation"].is_number_unsigned();
+  if (!Port || !HasIncarnation || !isString(Object, "name") ||
+      !isString(Object, "ip") || !isString(Object, "availability_zone"))
     return BadRecord;
   DaemonRecord Result;
   Result.Name = Object["name"].get<std::string>();
   Result.Ip = Object["ip"].get<std::string>();
-  Result.PeerPort = Object["port"].get<std::uint16_t>();
+  Result.PeerPort = static_cast<std::uint16_t>(*Port);
   Result.AvailabilityZone = Object["availability_zone"].get<std::string>();
   Result.Incarnation = Object["incarnation"].get<std::uint64_t>();
-  if (isInteger(Object, "processor_share"))
-    Result.ProcessorShare = Object["processor_share"].get<std::uint32_t>();
+  if (const auto Share =
+          integerIn(Object, "processor_share", 0, MaxProcessorShare))
+    Result.ProcessorShare = static_cast<std::uint32_t>(*Share);
   return Result;
 }
 
--- a/src/cluster/RecordsTest.cpp
+++ b/src/cluster/RecordsTest.cpp
@@ -14,6 +14,7 @@
   CPPUNIT_TEST(epochOfAGroupRecordDoesNotChangeWhenTheStoreIsRestored);
   CPPUNIT_TEST(aGroupRecordWithoutAnEraIsOfTheFirst);
   CPPUNIT_TEST(malformedRecordsAreCorrupt);
+  CPPUNIT_TEST(recordsWithNumbersOutOfRangeAreCorrupt);
   CPPUNIT_TEST_SUITE_END();
 
   void aGroupRecordIsRestoredByDecoding() {
@@ -78,6 +79,26 @@
               .error()
               .Kind == FailureKind::Corrupt);
   }
+
+  // Guards against numbers that wrap around: port 70000 became 4464.
+  void recordsWithNumbersOutOfRangeAreCorrupt() {
+    for (const char *Port : {"0", "65535", "70000", "-1", "1e9", "\"7\""})
+      CPPUNIT_ASSERT_MESSAGE(
+          Port,
+          !decodeDaemon(std::string(R"({"name":"a","ip":"b","port":)") + Port +
+                        R"(,"availability_zone":"z","incarnation":2})"));
+    for (const char *Number : {"-1", "18446744073709551615", "1e30"})
+      CPPUNIT_ASSERT_MESSAGE(
+          Number, !decodeGroup(std::string(R"({"term":)") + Number +
+                                   R"(,"primary":"a","changing":false,)"
+                                   R"("born":0})",
+                               1));
+    CPPUNIT_ASSERT(!decodeGroup(R"({"term":1,"primary":"a","changing":false,)"
+                                R"("born":18446744073709551615})",
+                                1));
+    CPPUNIT_ASSERT(!decodeGroup(std::string(500000, '['), 1));
+    CPPUNIT_ASSERT(!decodeDaemon(std::string(500000, '[')));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RecordsTest);
--- a/src/entry/Daemon.cpp
+++ b/src/entry/Daemon.cpp
@@ -26,8 +26,6 @@
 // yet, since the next request of its caller may be under way.
 constexpr Duration MinIdleTime = std::chrono::milliseconds(100);
 constexpr Duration LeaseReleaseTime = std::chrono::milliseconds(100);
-// Pause before a task that the daemon needs is started again after an error.
-constexpr Duration TaskRestartDelay = std::chrono::milliseconds(100);
 // Part of the leave limit that is kept for the change of primary of a leaving
 // member, which takes up to two seconds.
 constexpr Duration LeavingReserve = std::chrono::milliseconds(1500);
@@ -60,7 +58,7 @@
   Log.write(event::Started, S.Settings.CallerAddress,
             S.Settings.AvailabilityZone, S.Incarnation);
   const auto Keep = [this](const char *Name, std::function<Task<void>()> Run) {
-    runtime::spawn(Io, keepRunning(Name, std::move(Run)));
+    runtime::spawn(Io, keepRunning(S, Name, std::move(Run)));
   };
   Keep("store view", [this] { return View.run(); });
   Keep("registration", [this] { return Registrar.run(); });
@@ -72,23 +70,6 @@
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
-// Starts a task again after an unexpected error, because the daemon cannot work
-// without it.
-Task<void> Daemon::keepRunning(std::string Name,
-                               std::function<Task<void>()> Run) {
-  for (;;) {
-    std::string Error;
-    try {
-      co_await Run();
-      co_return;
-    } catch (const std::exception &Thrown) {
-      Error = Thrown.what();
-    }
-    Log.write(event::TaskFailed, Name, Error);
-    co_await runtime::sleepFor(TaskRestartDelay);
-  }
-}
-
 // A connection counts as open from its acceptance on, so that a stop waits for
 // it.
 Expected<void> Daemon::listenForCallers(tcp::endpoint Address,
--- a/src/entry/Daemon.h
+++ b/src/entry/Daemon.h
@@ -41,8 +41,6 @@
   Expected<void> listenForCallers(runtime::tcp::endpoint Address,
                                   Forwarding *Forwarder);
   runtime::Task<void> serveCaller(std::shared_ptr<CallerConnection> Caller);
-  runtime::Task<void> keepRunning(std::string Name,
-                                  std::function<runtime::Task<void>()> Run);
   runtime::Task<void> tick();
   runtime::Task<void> handleSignals();
   runtime::Task<void> stop();
--- a/src/entry/State.h
+++ b/src/entry/State.h
@@ -16,6 +16,7 @@
 #include "runtime/Async.h"
 #include "telemetry/Log.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -109,6 +110,11 @@
 void applyRecord(State &S, const std::string &Service,
                  const cluster::GroupRecord &Newer);
 
+/// Runs a task that the daemon cannot work without: starts it again after an
+/// unexpected error, which is logged.
+runtime::Task<void> keepRunning(State &S, std::string Name,
+                                std::function<runtime::Task<void>()> Run);
+
 /// Lease under which a daemon may use primaries. A change of primary waits up
 /// to this long for a daemon that is partitioned. Outages of the store that are
 /// shorter do not interrupt the use of primaries.
--- a/src/entry/StoreView.cpp
+++ b/src/entry/StoreView.cpp
@@ -60,6 +60,9 @@
 // their leases.
 constexpr Duration FleetRegistrationTime = std::chrono::milliseconds(600);
 
+// Pause before a task that the daemon needs is started again after an error.
+constexpr Duration TaskRestartDelay = std::chrono::milliseconds(100);
+
 std::string_view suffix(std::string_view Key, std::string_view Prefix) {
   return Key.substr(Prefix.size());
 }
@@ -77,6 +80,14 @@
     runtime::spawn(S.Io, Found->second->drainAndSetRecord(Newer, DrainTimeout));
 }
 
+Task<void> keepRunning(State &S, std::string Name,
+                       std::function<Task<void>()> Run) {
+  const auto OnError = [&S, Name](std::string_view Error) {
+    S.Log.write(event::TaskFailed, Name, Error);
+  };
+  co_await runtime::keepRunning(std::move(Run), OnError, TaskRestartDelay);
+}
+
 void StoreView::recordStoreResult(std::string_view Call, const Failure *Failed,
                                   Time Now) {
   if (Failed != nullptr && !StoreUnreachableSince) {
@@ -91,10 +102,15 @@
 }
 
 Task<void> StoreView::run() {
-  runtime::spawn(S.Io, follow(platform::ConfigPrefix, ConfigLoaded));
-  runtime::spawn(S.Io, follow(cluster::KeyPrefix, FleetLoaded));
-  runtime::spawn(S.Io, followPeerConfigVersions());
-  co_await pollMembers();
+  const auto Keep = [this](const char *Name,
+                           std::function<Task<void>()> Follow) {
+    runtime::spawn(S.Io, keepRunning(S, Name, std::move(Follow)));
+  };
+  Keep("configuration",
+       [this] { return follow(platform::ConfigPrefix, ConfigLoaded); });
+  Keep("fleet", [this] { return follow(cluster::KeyPrefix, FleetLoaded); });
+  Keep("configuration of peers", [this] { return followPeerConfigVersions(); });
+  co_await keepRunning(S, "members", [this] { return pollMembers(); });
 }
 
 Duration StoreView::pauseAfterWatch(std::string_view Prefix, Time Now) const {
@@ -342,8 +358,13 @@
 void StoreView::applyMember(const Item &Written) {
   const std::string Id(suffix(Written.Key, platform::MemberPrefix));
   Expected<catalog::Member> Member = platform::decodeMember(Id, Written.Value);
+  // An entry that names no member counts as absent, also if it named one
+  // before.
   if (!Member) {
-    S.Log.write(event::EntryIgnored, Written.Key, Member.error().Detail);
+    if (IgnoredEntryLog.tryAcquire(bootTime()))
+      S.Log.write(event::EntryIgnored, Written.Key, Member.error().Detail);
+    if (S.Members.contains(Id))
+      S.RemovedMembers.emplace(Id, bootTime());
     return;
   }
   S.RemovedMembers.erase(Id);
@@ -376,6 +397,12 @@
     S.Log.write(event::EntryIgnored, Seen.Written.Key, Record.error().Detail);
     return;
   }
+  runtime::error_code Error;
+  const auto Ip = runtime::asio::ip::make_address_v4(Record.value().Ip, Error);
+  if (Error) {
+    S.Log.write(event::EntryIgnored, Seen.Written.Key, "invalid address");
+    return;
+  }
   S.Daemons[Name] = Record.value();
   S.HolderRanking.add(Record.value());
   if (Name == S.Settings.InstanceName)
@@ -384,9 +411,6 @@
   if (Other.Channel && Other.Record == Record.value())
     return;
   Other.Record = Record.value();
-  runtime::error_code Ignored;
-  const auto Ip =
-      runtime::asio::ip::make_address_v4(Record.value().Ip, Ignored);
   Other.Channel = std::make_shared<peer::PeerChannel>(
       S.Io, runtime::tcp::endpoint(Ip, Record.value().PeerPort));
   Other.LastReport = PeerReport();
--- a/src/entry/StoreView.h
+++ b/src/entry/StoreView.h
@@ -3,6 +3,7 @@
 
 #include "cluster/EntryTracker.h"
 #include "cluster/Epoch.h"
+#include "entry/LogRateLimiter.h"
 #include "entry/State.h"
 #include "keyvalue/KeyValue.h"
 
@@ -56,6 +57,7 @@
   keyvalue::Era EraAtLastTick = keyvalue::FirstEra;
   cluster::EntryTracker MemberEntries;
   bool MembersChanged = false;
+  LogRateLimiter IgnoredEntryLog;
   std::optional<Time> StoreUnreachableSince;
 };
 
--- a/src/entry/StoreViewTest.cpp
+++ b/src/entry/StoreViewTest.cpp
@@ -22,6 +22,8 @@
   CPPUNIT_TEST(coordinatorOfBeforeARestoreIsForgotten);
   CPPUNIT_TEST(departureDuringAnOutageCountsFromTheReadBefore);
   CPPUNIT_TEST(noticesThatItsOwnEntryIsGone);
+  CPPUNIT_TEST(anOddEntryNamesNoMemberAndTheOthersHold);
+  CPPUNIT_TEST(aMemberWhoseEntryBecomesOddIsNotUsed);
   CPPUNIT_TEST_SUITE_END();
 
   platform::FakeStore Store{Io};
@@ -46,6 +48,7 @@
   void writeMember(std::string_view State, std::string_view Role,
                    std::int64_t Incarnation = 7) {
     write("servers/m", R"({"backend":"db","address":"127.0.0.1:1","zone":"z1",)"
+                       R"("version":"v1","warmup_left_ms":0,"sequence":1,)"
                        R"("capacity":2,"state":")" +
                            std::string(State) + R"(","db_role":")" +
                            std::string(Role) + R"(","born":)" +
@@ -119,6 +122,7 @@
     cluster::DaemonRecord Other;
     Other.Name = "entry-2";
     Other.Ip = "127.0.0.1";
+    Other.PeerPort = 1;
     write("borageridge/daemons/entry-2", encode(Other));
     start();
     CPPUNIT_ASSERT(S.Daemons.contains("entry-2"));
@@ -176,6 +180,38 @@
     runLoopFor(milliseconds(300));
     CPPUNIT_ASSERT(S.Entry.isLost());
   }
+
+  // Guards against daemons that end, or stop following the members, over an
+  // entry of another writer.
+  void anOddEntryNamesNoMemberAndTheOthersHold() {
+    constexpr std::size_t Depth = 200000;
+    write("servers/a", std::string(Depth, '['));
+    write("servers/b", "\xff\xfe");
+    write("servers/c", R"({"backend":"db","address":"127.0.0.1:70000",)"
+                       R"("zone":"z1","version":"v1","warmup_left_ms":0,)"
+                       R"("sequence":1,"capacity":4294967296,)"
+                       R"("state":"ready","db_role":"replica","born":1e30})");
+    writeMember("ready", "replica");
+    start();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), S.Members.size());
+    CPPUNIT_ASSERT(hasLogged("entry_ignored"));
+    writeMember("draining", "replica");
+    runLoopFor(milliseconds(600));
+    CPPUNIT_ASSERT(S.Members.at("m").Leaving);
+  }
+
+  void aMemberWhoseEntryBecomesOddIsNotUsed() {
+    writeMember("ready", "replica");
+    start();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), S.Members.size());
+    write("servers/m", "{}");
+    runLoopFor(milliseconds(600));
+    Subject.tick(runtime::bootTime() + std::chrono::seconds(3));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), S.Members.size());
+    writeMember("ready", "replica");
+    runLoopFor(milliseconds(600));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), S.Members.size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StoreViewTest);
--- a/src/keyvalue/KeyValue.h
+++ b/src/keyvalue/KeyValue.h
@@ -12,6 +12,9 @@
 /// was restored from an older copy, revisions are assigned again, so they order
 /// writes only within one era.
 using Revision = std::uint64_t;
+/// Higher numbers are no revisions; at 1,000 writes a second they suffice for
+/// 34 years.
+constexpr Revision LastRevision = (Revision(1) << 40) - 1;
 /// Increases each time the store is restored from an older copy.
 using Era = std::uint64_t;
 /// The era of a store that has never been restored, or that does not state it.
--- a/src/peer/Frame.cpp
+++ b/src/peer/Frame.cpp
@@ -1,39 +1,10 @@
 #include "peer/Frame.h"
 
-namespace borageridge::peer {
-namespace {
-
-using DomParser = nlohmann::detail::json_sax_dom_parser<Message>;
-
-// The binary reader calls itself for each nested value, so that the depth of
-// the input bounds the use of the stack.
-class BoundedDepthParser : public DomParser {
-public:
-  explicit BoundedDepthParser(Message &Result) : DomParser(Result, false) {}
+#include "common/BoundedJson.h"
 
-  // NOLINTBEGIN(readability-identifier-naming): names of the parser's events.
-  bool start_object(std::size_t Size) {
-    return ++Depth <= MaxFrameDepth && DomParser::start_object(Size);
-  }
-  bool end_object() {
-    --Depth;
-    return DomParser::end_object();
-  }
-  bool start_array(std::size_t Size) {
-    return ++Depth <= MaxFrameDepth && DomParser::start_array(Size);
-  }
-  bool end_array() {
-    --Depth;
-    return DomParser::end_array();
-  }
-  // NOLINTEND(readability-identifier-naming)
-
-private:
-  std::size_t Depth = 0;
-};
-
-} // namespace
+#include <utility>
 
+namespace borageridge::peer {
 std::string encodeFrame(const Message &Content) {
   std::string Frame(FrameHeaderBytes, '\0');
   nlohmann::json::to_msgpack(Content,
@@ -52,16 +23,13 @@
 }
 
 Expected<Message> decodeFrame(std::span<const std::uint8_t> Bytes) {
-  Message Result;
-  BoundedDepthParser Parser(Result);
-  if (!Message::sax_parse(Bytes.begin(), Bytes.end(), &Parser,
-                          Message::input_format_t::msgpack) ||
-      !Result.is_object())
+  std::optional<Message> Result = parseMessagePack(Bytes, MaxFrameDepth);
+  if (!Result || !Result->is_object())
     return Failure{FailureKind::Corrupt, "frame is not a MessagePack object"};
-  const auto Id = Result.find("id");
-  if (Id == Result.end() || !Id->is_number_unsigned())
+  const auto Id = Result->find("id");
+  if (Id == Result->end() || !Id->is_number_unsigned())
     return Failure{FailureKind::Corrupt, "frame has no valid id"};
-  return Result;
+  return std::move(*Result);
 }
 
 } // namespace borageridge::peer
--- a/src/runtime/Async.cpp
+++ b/src/runtime/Async.cpp
@@ -38,6 +38,20 @@
   co_await Timer.async_wait(asio::redirect_error(asio::use_awaitable, Ignored));
 }
 
+Task<void> keepRunning(std::function<Task<void>()> Run,
+                       std::function<void(std::string_view)> OnError,
+                       Duration Delay) {
+  for (;;) {
+    try {
+      co_await Run();
+      co_return;
+    } catch (const std::exception &Error) {
+      OnError(Error.what());
+    }
+    co_await sleepFor(Delay);
+  }
+}
+
 Event::Event(asio::io_context &Io) : Timer(Io) {}
 
 void Event::notify() {
--- a/src/runtime/Async.h
+++ b/src/runtime/Async.h
@@ -30,6 +30,11 @@
 
 /// Suspends the calling coroutine for Delay.
 Task<void> sleepFor(Duration Delay);
+/// Runs a task and starts it again Delay after an exception, of which OnError
+/// is told. Ends when the task ends without one.
+Task<void> keepRunning(std::function<Task<void>()> Run,
+                       std::function<void(std::string_view)> OnError,
+                       Duration Delay);
 
 /// Auto-reset event for a single waiting coroutine.
 class Event {
--- a/src/runtime/AsyncTest.cpp
+++ b/src/runtime/AsyncTest.cpp
@@ -12,6 +12,7 @@
 class AsyncTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(AsyncTest);
   CPPUNIT_TEST(exceptionOfOneCoroutineDoesNotEndTheOthers);
+  CPPUNIT_TEST(taskIsStartedAgainAfterAnException);
   CPPUNIT_TEST_SUITE_END();
 
   asio::io_context Io;
@@ -38,6 +39,22 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Errors.size());
     CPPUNIT_ASSERT_EQUAL(std::string("bad field"), Errors.front());
   }
+
+  void taskIsStartedAgainAfterAnException() {
+    unsigned Runs = 0;
+    std::vector<std::string> Errors;
+    const auto Work = [&]() -> Task<void> {
+      if (++Runs < 3)
+        co_await fail();
+    };
+    spawn(Io,
+          keepRunning(
+              Work, [&](std::string_view Error) { Errors.emplace_back(Error); },
+              std::chrono::milliseconds(1)));
+    Io.run();
+    CPPUNIT_ASSERT_EQUAL(3U, Runs);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Errors.size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AsyncTest);
