Keep a stopping daemon until its role of coordinator has ended

Callers would have waited up to 3 s longer for a new primary: without open sessions a stop ended the process 2.4 s after SIGTERM, also while the change that it was to complete was in progress, and the lease of the coordinator was left to expire.

Found in reading the diff.

Change: the role counts like an open session. A candidate that does not answer is not given time to take over first.

--- a/src/cluster/Records.cpp
+++ b/src/cluster/Records.cpp
@@ -20,7 +20,7 @@
 // The port after the peer port is used as well.
 constexpr std::int64_t MaxPeerPort = 65534;
 // Thousandths of a core.
-constexpr std::int64_t MaxProcessorShare = 1000 * 1024;
+constexpr std::int64_t MaxProcessorShare = 1024000;
 
 bool isString(const json &Object, const char *Key) {
   return Object.contains(Key) && Object[Key].is_string();
--- a/src/entry/Daemon.cpp
+++ b/src/entry/Daemon.cpp
@@ -212,17 +212,22 @@
   }
 }
 
+Task<void> Daemon::resign(Time Deadline) {
+  co_await ChangeCoordinator.stop(Deadline);
+  Resigned = true;
+}
+
 // Sessions are closed between statements, and open transactions have half of
 // the limit to end. The lease is kept until no session needs it.
 Task<void> Daemon::stop() {
   const Time Start = bootTime();
   S.Stopping = true;
   Log.write(event::Draining, Callers->size());
-  runtime::spawn(Io, ChangeCoordinator.stop(Start + S.Settings.StopLimit / 2));
+  runtime::spawn(Io, resign(Start + S.Settings.StopLimit / 2));
   StopPlan Plan(Start, S.Settings.StopLimit);
   S.StatementExecutor.setLatestAnswer(Plan.latestAnswer());
   for (StopPhase Phase = StopPhase::Announce; Phase != StopPhase::End;) {
-    Phase = Plan.update(bootTime(), Callers->size());
+    Phase = Plan.update(bootTime(), Callers->size() + (Resigned ? 0 : 1));
     if (Phase == StopPhase::Finish)
       closeCallerListeners();
     if (Phase == StopPhase::Drain || Phase == StopPhase::Finish) {
@@ -254,9 +259,9 @@
   for (const auto &Caller : Open) {
     const bool WaitsInTransaction =
         Caller->isInTransaction() && !Caller->isWorking();
-    if (Caller->isIdle() && Caller->waited(Now) >= MinIdleTime)
-      Caller->close();
-    else if (WaitsInTransaction && Plan.closesTransactions(Now))
+    const bool HasBeenIdle =
+        Caller->isIdle() && Caller->waited(Now) >= MinIdleTime;
+    if (HasBeenIdle || (WaitsInTransaction && Plan.closesTransactions(Now)))
       Caller->close();
     else if (WaitsInTransaction && Plan.abortsTransactions(Now))
       Caller->abortTransaction();
--- a/src/entry/Daemon.h
+++ b/src/entry/Daemon.h
@@ -44,6 +44,7 @@
   runtime::Task<void> tick();
   runtime::Task<void> handleSignals();
   runtime::Task<void> stop();
+  runtime::Task<void> resign(Time Deadline);
   void closeCallerListeners();
   void closeCallers(const StopPlan &Plan, Time Now);
   void closeSessionsOfUnreachablePeers();
@@ -65,6 +66,8 @@
   std::vector<std::shared_ptr<runtime::Listener>> CallerListeners;
   LogRateLimiter RejectionLog;
   bool WasReady = false;
+  /// Whether a stop has ended the role of coordinator, if the daemon had it.
+  bool Resigned = false;
 };
 
 } // namespace borageridge::entry
--- a/src/entry/DaemonTest.cpp
+++ b/src/entry/DaemonTest.cpp
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(unknownConfigurationIsNotReportedAsAnUnknownDatabase);
   CPPUNIT_TEST(connectionsAcceptedUntilTheEndOfAStopAreAnswered);
   CPPUNIT_TEST(sessionsThatAreNeverIdleAreNotCutAtAStop);
+  CPPUNIT_TEST(stopEndsTheRoleOfCoordinatorBeforeTheProcess);
   CPPUNIT_TEST_SUITE_END();
 
   platform::FakeStore Store{Io};
@@ -242,6 +243,25 @@
     }
   }
 
+  // Guards against a change that is cut when no session is left: the next
+  // coordinator would wait for the lease to expire.
+  void stopEndsTheRoleOfCoordinatorBeforeTheProcess() {
+    keyvalue::Transaction Change;
+    Change.Puts.push_back({"op/config", std::string(Config), 0});
+    Change.Puts.push_back({"borageridge/groups/db",
+                           cluster::encode({0, 1, "p", true, 0, ""}), 0});
+    Store.commit(Change);
+    run(milliseconds(900));
+    CPPUNIT_ASSERT(hasLogged("change_started"));
+    std::raise(SIGTERM);
+    const Time Latest = runtime::bootTime() + settings().StopLimit;
+    while (run(milliseconds(20)))
+      CPPUNIT_ASSERT(runtime::bootTime() < Latest);
+    CPPUNIT_ASSERT(hasLogged("duty_lost"));
+    // The lease of the coordinator and the one that permits to use primaries.
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Store.count("kv-lease-end"));
+  }
+
   runtime::error_code Ignored;
 };
 
--- a/src/entry/PrimaryChange.cpp
+++ b/src/entry/PrimaryChange.cpp
@@ -441,7 +441,8 @@
     // A promotion that a former coordinator may have called for gets the time
     // to take effect first, so that the member does not begin two terms.
     const bool MayBeUnderWay =
-        !Old.Candidate.empty() && Changing.Candidate == Old.Candidate;
+        !Old.Candidate.empty() && Changing.Candidate == Old.Candidate &&
+        !Pool->isSuspected(Changing.Candidate, bootTime());
     Leader = co_await promoteCandidate(
         Service, Changing,
         MayBeUnderWay ? ActiveSince + PromotionEffectTime : Time());
--- a/src/entry/StopPlan.cpp
+++ b/src/entry/StopPlan.cpp
@@ -27,8 +27,8 @@
 // The listener stays open while sessions are open, since the sessions then keep
 // the process running anyway, and a connection that is served is better than
 // one that is refused.
-StopPhase StopPlan::update(Time Now, std::size_t OpenSessions) {
-  const bool Idle = OpenSessions == 0;
+StopPhase StopPlan::update(Time Now, std::size_t Open) {
+  const bool Idle = Open == 0;
   if (Phase == StopPhase::Announce &&
       hasPassed(Now, std::min(LoadBalancerDetectionTime, Limit / 2)))
     Phase = StopPhase::Drain;
--- a/src/entry/StopPlan.h
+++ b/src/entry/StopPlan.h
@@ -18,7 +18,7 @@
   Drain,
   /// Accepts no more sessions and lets those that are open finish.
   Finish,
-  /// No session is open, or the time is over: the process ends.
+  /// Nothing is open, or the time is over: the process ends.
   End,
 };
 
@@ -29,9 +29,10 @@
   /// Limit: time after Start at which the process is killed.
   StopPlan(Time Start, Duration Limit);
 
-  /// Returns the phase for the number of open sessions. Phases never go back,
-  /// so that the caller may act when the phase changes.
-  StopPhase update(Time Now, std::size_t OpenSessions);
+  /// Returns the phase for the number of open sessions and other tasks for
+  /// which the process has to stay. Phases never go back, so that the caller
+  /// may act when the phase changes.
+  StopPhase update(Time Now, std::size_t Open);
 
   /// Whether open transactions that wait for their caller are rolled back.
   /// Their sessions stay open for a while, so that a statement under way is
