--- a/tools/model.sh
+++ b/tools/model.sh
@@ -48,6 +48,11 @@
 check restored_store fails TRUST_OLD_RECORD
 check restored_store fails COPY_WINS
 check restored_store fails RENEW_OLD_LEASE
+check candidate holds ALL_FAULTS_OFF
+check candidate fails ANY_LEADER
+check candidate fails CALL_FIRST
+check candidate fails CHOOSE_AGAIN
+check candidate fails LATE_CALL
 check settle holds AT_MOST_ONCE
 check settle holds TRUE_REFUSAL
 check settle holds TRUE_OUTCOME
