Log who called for which promotion, and what each daemon acknowledged under which record

Change: promotion_called and promotion_answered (member, token, record, result, time); primary_use_ended tells how many writes a daemon acknowledged under the record that it leaves; group records name their writer and its token, and record_applied logs them on every daemon, so that the coordinator's own log is not needed; peers that are lost together get one line (peers_lost in place of peer_lost). No decision changes.

Conclusion: a short excerpt of any daemon now names coordinator, token, candidate and term.

--- a/src/cluster/Records.cpp
+++ b/src/cluster/Records.cpp
@@ -36,6 +36,10 @@
                  {"era", eraOf(Record.Epoch)}};
   if (!Record.Candidate.empty())
     Object["candidate"] = Record.Candidate;
+  if (!Record.Writer.empty()) {
+    Object["writer"] = Record.Writer;
+    Object["writer_token"] = Record.WriterToken;
+  }
   return Object.dump();
 }
 
@@ -50,7 +54,10 @@
   if (!Term || !Born || !isString(Object, "primary") ||
       !Object.contains("changing") || !Object["changing"].is_boolean() ||
       (Object.contains("era") && !Object["era"].is_number_unsigned()) ||
-      (Object.contains("candidate") && !Object["candidate"].is_string()))
+      (Object.contains("candidate") && !Object["candidate"].is_string()) ||
+      (Object.contains("writer") &&
+       (!Object["writer"].is_string() || !Object.contains("writer_token") ||
+        !Object["writer_token"].is_number_unsigned())))
     return BadRecord;
   GroupRecord Result;
   // Records of the first era may lack it.
@@ -63,6 +70,8 @@
   Result.Changing = Object["changing"].get<bool>();
   Result.PrimaryIncarnation = *Born;
   Result.Candidate = Object.value("candidate", std::string());
+  Result.Writer = Object.value("writer", std::string());
+  Result.WriterToken = Object.value("writer_token", Epoch(0));
   return Result;
 }
 
--- a/src/cluster/Records.h
+++ b/src/cluster/Records.h
@@ -32,6 +32,10 @@
   /// progress, or is about to be; empty if none. Its promotion may still take
   /// effect.
   std::string Candidate = {};
+  /// The coordinator that wrote this record, and its fencing token; for the log
+  /// only. Empty and 0 in records of earlier versions.
+  std::string Writer = {};
+  cluster::Epoch WriterToken = 0;
 
   friend bool operator==(const GroupRecord &, const GroupRecord &) = default;
 };
--- a/src/cluster/RecordsTest.cpp
+++ b/src/cluster/RecordsTest.cpp
@@ -9,6 +9,7 @@
   CPPUNIT_TEST_SUITE(RecordsTest);
   CPPUNIT_TEST(aGroupRecordIsRestoredByDecoding);
   CPPUNIT_TEST(theCandidateOfAChangeIsRestoredByDecoding);
+  CPPUNIT_TEST(theWriterOfARecordIsRestoredByDecoding);
   CPPUNIT_TEST(aDaemonRecordIsRestoredByDecoding);
   CPPUNIT_TEST(aDaemonRecordWithoutAProcessorShareHasTheDefault);
   CPPUNIT_TEST(epochOfAGroupRecordDoesNotChangeWhenTheStoreIsRestored);
@@ -30,6 +31,19 @@
                                 12));
   }
 
+  void theWriterOfARecordIsRestoredByDecoding() {
+    const GroupRecord Record{12, 3, "i-1", true, -5, "i-2", "entry-1", 7};
+    CPPUNIT_ASSERT(decodeGroup(encode(Record), 12).value() == Record);
+    for (const char *Writer :
+         {R"("writer":7,"writer_token":7)", R"("writer":"entry-1")",
+          R"("writer":"entry-1","writer_token":-1)"})
+      CPPUNIT_ASSERT_MESSAGE(
+          Writer, !decodeGroup(std::string(R"({"term":3,"primary":"a",)"
+                                           R"("changing":true,"born":0,)") +
+                                   Writer + "}",
+                               12));
+  }
+
   // A copy that is some seconds old holds a record with the revision that it
   // had, so it never counts as newer than the one that replaced it.
   void epochOfAGroupRecordDoesNotChangeWhenTheStoreIsRestored() {
--- a/src/entry/Events.cpp
+++ b/src/entry/Events.cpp
@@ -6,11 +6,12 @@
   using namespace event;
   return telemetry::describeAll(
       Started, Ready, Draining, Stopped, SettingsReloaded, StartFailed,
-      ConfigApplied, ConfigSkipped, EntryIgnored, RecordApplied, MemberLeaving,
-      MemberSuspected, MemberRecovered, ConnectionRefused, StoreLost,
-      StoreRegained, StoreRestored, LeaseGranted, LeaseLost, PeerLost, PeerSeen,
-      PeerMessageRejected, TaskFailed, DutyTaken, DutyLost, ChangeStarted,
-      ChangeStep, ChangeCompleted, ChangeFailed, UseRelinquished,
+      ConfigApplied, ConfigSkipped, EntryIgnored, RecordApplied,
+      PrimaryUseEnded, MemberLeaving, MemberSuspected, MemberRecovered,
+      ConnectionRefused, StoreLost, StoreRegained, StoreRestored, LeaseGranted,
+      LeaseLost, PeersLost, PeerSeen, PeerMessageRejected, TaskFailed,
+      DutyTaken, DutyLost, ChangeStarted, ChangeStep, PromotionCalled,
+      PromotionAnswered, ChangeCompleted, ChangeFailed, UseRelinquished,
       RequestRefused, RequestRetried, LinesSuppressed);
 }
 
--- a/src/entry/Events.h
+++ b/src/entry/Events.h
@@ -43,10 +43,16 @@
     {"version", "revision", "store_era", "applied_version"}};
 inline constexpr EventType<Text, Text> EntryIgnored{
     "entry_ignored", LogLevel::Warning, {"key", "detail"}};
-inline constexpr EventType<Text, Number, Number, Text, bool> RecordApplied{
-    "record_applied",
-    LogLevel::Info,
-    {"service", "epoch", "term", "primary", "changing"}};
+inline constexpr EventType<Text, Number, Number, Text, bool, Text, Text, Number>
+    RecordApplied{"record_applied",
+                  LogLevel::Info,
+                  {"service", "epoch", "term", "primary", "changing",
+                   "candidate", "writer", "fencing_token"}};
+inline constexpr EventType<Text, Number, Number, Text, Number, Number>
+    PrimaryUseEnded{"primary_use_ended",
+                    LogLevel::Info,
+                    {"service", "epoch", "term", "primary",
+                     "acknowledged_writes", "last_write_ms"}};
 inline constexpr EventType<Text, Text> MemberLeaving{
     "member_leaving", LogLevel::Info, {"service", "member"}};
 inline constexpr EventType<Text, Text, Text> MemberSuspected{
@@ -65,8 +71,8 @@
     "lease_granted", LogLevel::Info, {"lease"}};
 inline constexpr EventType<Text> LeaseLost{
     "lease_lost", LogLevel::Warning, {"cause"}};
-inline constexpr EventType<Text, Text> PeerLost{
-    "peer_lost", LogLevel::Warning, {"peer", "failure"}};
+inline constexpr EventType<Number, Text, Text> PeersLost{
+    "peers_lost", LogLevel::Warning, {"count", "peers", "failure"}};
 inline constexpr EventType<Text> PeerSeen{
     "peer_seen", LogLevel::Info, {"peer"}};
 
@@ -86,6 +92,14 @@
     {"service", "cause", "reporters", "live_daemons"}};
 inline constexpr EventType<Text, Text, Text> ChangeStep{
     "change_step", LogLevel::Info, {"service", "step", "detail"}};
+inline constexpr EventType<Text, Text, Number, Number> PromotionCalled{
+    "promotion_called",
+    LogLevel::Warning,
+    {"service", "member", "fencing_token", "epoch"}};
+inline constexpr EventType<Text, Text, Number, Text, Number> PromotionAnswered{
+    "promotion_answered",
+    LogLevel::Warning,
+    {"service", "member", "fencing_token", "result", "took_ms"}};
 inline constexpr EventType<Text, Text, Number, Number> ChangeCompleted{
     "change_completed",
     LogLevel::Info,
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -4,6 +4,8 @@
 #include "platform/StoreApi.h"
 #include "runtime/Clock.h"
 
+#include <absl/strings/str_join.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -33,6 +35,9 @@
 // Longer than the longest watch of the store.
 constexpr Duration MaxRelayTime = std::chrono::seconds(35);
 
+// Names in one line of the log.
+constexpr std::size_t MaxLoggedPeers = 8;
+
 std::size_t intervalFactor(std::size_t Peers) {
   return Peers <= MaxPeersForFullExchange
              ? 1
@@ -81,6 +86,7 @@
         runtime::spawn(S.Io, queryPeer(Name));
     }
     updatePeerLoad(bootTime());
+    logLostPeers();
     co_await runtime::sleepFor(Interval);
   }
 }
@@ -111,6 +117,20 @@
     std::erase_if(S.Peers, IsSeed);
 }
 
+// One line for all that are lost together: the lines of a whole fleet that
+// restarts would displace those of what caused it.
+void Exchange::logLostPeers() {
+  for (const auto &[Failure, Names] : std::exchange(LostPeers, {})) {
+    const auto Listed = std::min(Names.size(), MaxLoggedPeers);
+    S.Log.write(event::PeersLost, Names.size(),
+                absl::StrJoin(Names.begin(),
+                              std::next(Names.begin(),
+                                        static_cast<std::ptrdiff_t>(Listed)),
+                              ","),
+                Failure);
+  }
+}
+
 Duration Exchange::slowestInterval() const {
   return Interval * static_cast<int>(intervalFactor(S.Peers.size()));
 }
@@ -135,7 +155,7 @@
     Other.Unreachable = !Other.Unreachable;
     if (Other.Unreachable) {
       S.UnreachablePeers.push_back(Name);
-      S.Log.write(event::PeerLost, Name, Report.error().Detail);
+      LostPeers[Report.error().Detail].insert(Name);
     } else {
       S.Log.write(event::PeerSeen, Name);
     }
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -4,6 +4,7 @@
 #include "entry/State.h"
 #include "peer/Messages.h"
 
+#include <map>
 #include <set>
 #include <string>
 
@@ -44,6 +45,7 @@
   void applyReport(Peer &From, const peer::StateReport &Answer,
                    Time RequestedAt, Time Now);
   void updatePeerLoad(Time Now);
+  void logLostPeers();
   void addSeedPeers();
   void removeSeedPeersOnceFleetIsKnown();
   peer::StateReport report(Time Now) const;
@@ -52,6 +54,8 @@
   relinquishForPeer(peer::RelinquishRequest Wanted);
 
   State &S;
+  /// Peers lost since the last line about them, by failure.
+  std::map<std::string, std::set<std::string>> LostPeers;
 };
 
 } // namespace borageridge::entry
--- a/src/entry/ExchangeTest.cpp
+++ b/src/entry/ExchangeTest.cpp
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(reportContainsTheVersionOfTheConfiguration);
   CPPUNIT_TEST(storesNewerConfigurationVersionOfAPeer);
   CPPUNIT_TEST(marksPeerThatDoesNotAnswerAsUnreachable);
+  CPPUNIT_TEST(peersThatAreLostTogetherGetOneLine);
   CPPUNIT_TEST(relinquishingEndsTheUseOfThePrimary);
   CPPUNIT_TEST(confirmsRelinquishingOfAnUnknownServiceAtOnce);
   CPPUNIT_TEST(undecodableRequestFailsWithoutEffect);
@@ -217,6 +218,23 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), S.UnreachablePeers.size());
   }
 
+  // Guards against a restart of the fleet that displaces the lines about its
+  // cause from a short excerpt.
+  void peersThatAreLostTogetherGetOneLine() {
+    for (int I = 0; I < 12; ++I)
+      addPeer("entry-" + std::to_string(10 + I), freePort());
+    runtime::spawn(Io, Subject.run());
+    runLoopFor(milliseconds(400));
+    Log.flush();
+    const std::string All = Lines.str();
+    const std::size_t First = All.find("\"event\":\"peers_lost\"");
+    CPPUNIT_ASSERT(First != std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(std::string::npos, All.find("peers_lost", First + 20));
+    CPPUNIT_ASSERT(All.find("\"count\":12") != std::string::npos);
+    CPPUNIT_ASSERT(All.find("entry-17") != std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(std::string::npos, All.find("entry-18"));
+  }
+
   void relinquishingEndsTheUseOfThePrimary() {
     auto &Pool = S.ByService["db"];
     Pool = std::make_unique<pool::ServicePool>(S.Shared, "db");
--- a/src/entry/Executor.cpp
+++ b/src/entry/Executor.cpp
@@ -233,6 +233,7 @@
       if (Writes && Answer.succeeded()) {
         S.LastCommit = Answer.At;
         S.LastCommitEpoch = LogEpoch;
+        Pool->noteAcknowledgedWrite(bootTime());
       }
       if (!Writes)
         Metrics.addRead(Connection.OnPrimary);
--- a/src/entry/Forwarding.cpp
+++ b/src/entry/Forwarding.cpp
@@ -90,7 +90,7 @@
     if (Answer && !Answer.value().Error)
       co_return Link;
     AvoidUntil[Name] = bootTime() + AvoidancePeriod;
-    S.Log.write(event::PeerLost, Name,
+    S.Log.write(event::PeersLost, 1, Name,
                 Answer ? Answer.value().Detail : Answer.error().Detail);
   }
   co_return nullptr;
--- a/src/entry/PrimaryChange.cpp
+++ b/src/entry/PrimaryChange.cpp
@@ -77,6 +77,8 @@
   const std::string Key = std::string(cluster::GroupPrefix) + Service;
   const keyvalue::Era Era = CoordinatorLease.era();
   Record.Epoch = cluster::makeEpoch(Era, 0);
+  Record.Writer = S.Settings.InstanceName;
+  Record.WriterToken = FencingToken;
   keyvalue::Transaction Update;
   Update.StoreEra = Era;
   Update.Conditions.push_back({Key, Replaced.value()});
@@ -341,6 +343,9 @@
 Task<Coordinator::CallResult>
 Coordinator::callForPromotion(std::string Service, std::string Member,
                               cluster::Epoch Token) {
+  const Time Start = bootTime();
+  S.Log.write(event::PromotionCalled, Service, Member, Token,
+              findPool(Service)->record().Epoch);
   ++CallsInFlight;
   const Expected<http::Response> Answer = co_await PromotionClient.sendIf(
       [this, Token] {
@@ -352,8 +357,9 @@
   const Expected<void> Result =
       Answer ? platform::decodePromoteResponse(Answer.value())
              : Expected<void>(Answer.error());
-  S.Log.write(event::ChangeStep, Service, "promote",
-              Result ? Member : Result.error().Detail);
+  S.Log.write(event::PromotionAnswered, Service, Member, Token,
+              Result ? "accepted" : Result.error().Detail,
+              runtime::toMilliseconds(bootTime() - Start));
   // After a lost answer, the status of the member shows whether the promotion
   // took effect.
   if (Result || Result.error().Kind == FailureKind::Unknown)
--- a/src/entry/TransactionExecution.cpp
+++ b/src/entry/TransactionExecution.cpp
@@ -287,6 +287,7 @@
     if (Wrote) {
       S.LastCommit = Answer.At;
       S.LastCommitEpoch = LogEpoch;
+      Pool->noteAcknowledgedWrite(bootTime());
     }
     Answer.State = TransactionState::None;
     co_return Answer;
--- a/src/pool/ServicePool.cpp
+++ b/src/pool/ServicePool.cpp
@@ -117,7 +117,8 @@
   const bool SamePrimary = Newer.Primary == Record.Primary &&
                            Newer.PrimaryTerm == Record.PrimaryTerm;
   Shared.Log.write(entry::event::RecordApplied, Service, Newer.Epoch,
-                   Newer.PrimaryTerm, Newer.Primary, Newer.Changing);
+                   Newer.PrimaryTerm, Newer.Primary, Newer.Changing,
+                   Newer.Candidate, Newer.Writer, Newer.WriterToken);
   if (!SamePrimary || Newer.Changing)
     closePrimaryConnections();
   // Nothing is acknowledged while a primary change is in progress, so the known
@@ -133,12 +134,27 @@
   }
   const bool Confirmed = SamePrimary && !Newer.Changing && !Record.Changing &&
                          Newer.PrimaryIncarnation == Record.PrimaryIncarnation;
-  if (!Confirmed)
+  if (!Confirmed) {
+    logEndOfUse(Now);
     UseBegan = Newer.Epoch;
+  }
   Record = Newer;
   wakeWaiters(Now);
 }
 
+// Tells which daemon acknowledged under which record without a line for each
+// write.
+void ServicePool::logEndOfUse(Time Now) {
+  if (Record.Epoch == 0 || Record.Changing)
+    return;
+  const auto SinceLast =
+      AcknowledgedWrites == 0 ? Duration::zero() : Now - LastAcknowledgedAt;
+  Shared.Log.write(entry::event::PrimaryUseEnded, Service, UseBegan,
+                   Record.PrimaryTerm, Record.Primary, AcknowledgedWrites,
+                   runtime::toMilliseconds(SinceLast));
+  AcknowledgedWrites = 0;
+}
+
 Task<void> ServicePool::drainAndSetRecord(cluster::GroupRecord Newer,
                                           Duration Limit) {
   const bool Begins = Newer.Changing && !Record.Changing && Record.Epoch != 0 &&
--- a/src/pool/ServicePool.h
+++ b/src/pool/ServicePool.h
@@ -100,6 +100,11 @@
   /// Whether replies of the primary to statements of this epoch may be
   /// forwarded to callers.
   bool mayAcknowledge(std::uint64_t Epoch, Time Now) const;
+  /// Counts a write that was acknowledged to a caller, for the log.
+  void noteAcknowledgedWrite(Time Now) {
+    ++AcknowledgedWrites;
+    LastAcknowledgedAt = Now;
+  }
 
   /// Waits for a connection: until QueueDeadline if the usable members are
   /// busy, until Deadline if no member is usable.
@@ -211,6 +216,7 @@
                    std::uint64_t Epoch, Time Now);
   void wakeWaiters(Time Now);
   void closePrimaryConnections();
+  void logEndOfUse(Time Now);
   void closeSurplus(MemberState &M, Time Now);
   void reportHealth(MemberState &M, Time Now);
 
@@ -228,6 +234,9 @@
   /// First epoch of the present use of the primary, which later records have
   /// confirmed.
   std::uint64_t UseBegan = 0;
+  /// Writes acknowledged in the present use of the primary.
+  std::uint64_t AcknowledgedWrites = 0;
+  Time LastAcknowledgedAt;
   std::map<std::string, MemberState, std::less<>> Members;
   freshness::PrimaryPositions Positions;
   LatencyEstimate Latency;
--- a/src/pool/ServicePoolTest.cpp
+++ b/src/pool/ServicePoolTest.cpp
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(relinquishedStatementsStayEndedWhenThePrimaryIsConfirmed);
   CPPUNIT_TEST(recordFromBeforeTheTrustedEpochPermitsNoUse);
   CPPUNIT_TEST(leavingPrimaryIsNotUsedTooLongIfItsEntryIsReadLate);
+  CPPUNIT_TEST(endOfAnUseTellsHowManyWritesWereAcknowledged);
   CPPUNIT_TEST_SUITE_END();
 
   runtime::asio::io_context Io;
@@ -87,6 +88,22 @@
     CPPUNIT_ASSERT(Subject.mayUsePrimary(Last));
     CPPUNIT_ASSERT(!Subject.mayUsePrimary(Last + milliseconds(1)));
   }
+
+  // Guards against logs that do not tell which daemon acknowledged writes under
+  // which record.
+  void endOfAnUseTellsHowManyWritesWereAcknowledged() {
+    Subject.noteAcknowledgedWrite(Now + milliseconds(10));
+    Subject.noteAcknowledgedWrite(Now + milliseconds(20));
+    Subject.setRecord({60, 3, "p", false, 0}, Now + milliseconds(30));
+    Subject.setRecord({70, 3, "p", true, 0}, Now + milliseconds(50));
+    Log.flush();
+    const std::string Expected =
+        R"("event":"primary_use_ended","instance":"test","service":"db",)"
+        R"("epoch":50,"term":3,"primary":"p","acknowledged_writes":2,)"
+        R"("last_write_ms":30)";
+    CPPUNIT_ASSERT_MESSAGE(Lines.str(),
+                           Lines.str().find(Expected) != std::string::npos);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ServicePoolTest);
