--- a/soak/Main.cpp
+++ b/soak/Main.cpp
@@ -167,20 +167,21 @@
 } // namespace
 
 int main(int Count, char **Arguments) {
-  Options Given;
-  CLI::App App("Soak of changes of primary. Ends with 1 if a rule was broken.");
-  App.add_option("--program", Given.Program, "the entry daemon")->required();
-  App.add_option("--folder", Given.Folder, "for logs")->required();
-  App.add_option("--seed", Given.Seed);
-  App.add_option("--seconds", Given.Seconds, "of trouble");
-  App.add_option("--promotion-delay-ms", Given.PromotionDelayMs,
-                 "of every call for a promotion");
-  App.add_option("--daemons", Given.Daemons)->check(CLI::Range(2, 9));
-  App.add_option("--services", Given.Services)->check(CLI::Range(1, 9));
-  App.add_option("--kinds", Given.Kinds,
-                 "kinds of trouble, separated by commas");
-  CLI11_PARSE(App, Count, Arguments);
   try {
+    Options Given;
+    CLI::App App("Soak of changes of primary. Ends with 1 if a rule was "
+                 "broken.");
+    App.add_option("--program", Given.Program, "the entry daemon")->required();
+    App.add_option("--folder", Given.Folder, "for logs")->required();
+    App.add_option("--seed", Given.Seed);
+    App.add_option("--seconds", Given.Seconds, "of trouble");
+    App.add_option("--promotion-delay-ms", Given.PromotionDelayMs,
+                   "of every call for a promotion");
+    App.add_option("--daemons", Given.Daemons)->check(CLI::Range(2, 9));
+    App.add_option("--services", Given.Services)->check(CLI::Range(1, 9));
+    App.add_option("--kinds", Given.Kinds,
+                   "kinds of trouble, separated by commas");
+    CLI11_PARSE(App, Count, Arguments);
     run(Given);
   } catch (const std::exception &Error) {
     std::fprintf(stderr, "%s\n", Error.what());
--- a/src/change/ChangePolicy.cpp
+++ b/src/change/ChangePolicy.cpp
@@ -76,6 +76,8 @@
     return "restarted";
   case Cause::Gone:
     return "gone";
+  case Cause::Settled:
+    return "settled";
   }
   return "none";
 }
@@ -110,6 +112,8 @@
     return Cause::None;
   if (isUnreachable(Known.Reports, Known.Record.Primary, Known.LiveDaemons))
     return Cause::Unreachable;
+  if (Known.IsSuperseded)
+    return Cause::NotLeading;
   if (Primary == nullptr)
     return hasLasted(Known.GoneSince, GoneConfirmation, Now) ? Cause::Gone
                                                              : Cause::None;
@@ -119,7 +123,7 @@
     return Cause::Restarted;
   if (hasLasted(Known.NotLeadingSince, NotLeadingConfirmation, Now))
     return Cause::NotLeading;
-  return Cause::None;
+  return Known.HasSettled ? Cause::Settled : Cause::None;
 }
 
 // Only the member that was named last stays the leader: the promotions of
--- a/src/change/ChangePolicy.h
+++ b/src/change/ChangePolicy.h
@@ -32,6 +32,8 @@
   Restarted,
   /// The primary is no longer registered.
   Gone,
+  /// Promotions that the record lists as unsettled cannot take effect any more.
+  Settled,
 };
 std::string_view name(Cause Why);
 
@@ -64,6 +66,10 @@
   std::optional<Time> NotLeadingSince;
   /// Start of the time in which the recorded primary has not been registered.
   std::optional<Time> GoneSince;
+  /// Whether another member is known to have taken over from the primary.
+  bool IsSuperseded = false;
+  /// Whether the record lists unsettled members that are settled.
+  bool HasSettled = false;
 };
 
 Cause changeCause(const ServiceObservation &Known, Time Now);
--- a/src/change/ChangePolicyTest.cpp
+++ b/src/change/ChangePolicyTest.cpp
@@ -50,6 +50,8 @@
   CPPUNIT_TEST(anInterruptedChangeIsResumed);
   CPPUNIT_TEST(aRecordFromBeforeARestoreIsConfirmedFirst);
   CPPUNIT_TEST(aMissingEntryCountsAfterADelay);
+  CPPUNIT_TEST(aSupersededPrimaryIsReplacedAtOnce);
+  CPPUNIT_TEST(settledMembersAreRemovedIfNothingElseIsToDo);
   CPPUNIT_TEST(theLongestLogIsPreferred);
   CPPUNIT_TEST(aLeavingReplicaIsChosenOnlyForALongerLog);
   CPPUNIT_TEST(aStayingReplicaIsPreferredWhileTheOldPrimaryResponds);
@@ -117,6 +119,22 @@
     CPPUNIT_ASSERT(changeCause(situation(), Now) == Cause::None);
   }
 
+  // Guards against a primary that claims the role without limit because it does
+  // not reach the member that has taken over.
+  void aSupersededPrimaryIsReplacedAtOnce() {
+    ServiceObservation Known = situation();
+    Known.IsSuperseded = true;
+    CPPUNIT_ASSERT(changeCause(Known, Now) == Cause::NotLeading);
+  }
+
+  void settledMembersAreRemovedIfNothingElseIsToDo() {
+    ServiceObservation Known = situation();
+    Known.HasSettled = true;
+    CPPUNIT_ASSERT(changeCause(Known, Now) == Cause::Settled);
+    Members[0].Leaving = true;
+    CPPUNIT_ASSERT(changeCause(Known, Now) == Cause::Leaving);
+  }
+
   void aLeavingPrimaryIsReplaced() {
     Members[0].Leaving = true;
     CPPUNIT_ASSERT(changeCause(situation(), Now) == Cause::Leaving);
--- a/src/cluster/Records.cpp
+++ b/src/cluster/Records.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <limits>
 
 namespace borageridge::cluster {
@@ -26,6 +27,12 @@
   return Object.contains(Key) && Object[Key].is_string();
 }
 
+bool isListOfStrings(const json &Value) {
+  return Value.is_array() &&
+         std::all_of(Value.begin(), Value.end(),
+                     [](const json &Each) { return Each.is_string(); });
+}
+
 } // namespace
 
 std::string encode(const GroupRecord &Record) {
@@ -36,6 +43,8 @@
                  {"era", eraOf(Record.Epoch)}};
   if (!Record.Candidate.empty())
     Object["candidate"] = Record.Candidate;
+  if (!Record.Unsettled.empty())
+    Object["unsettled"] = Record.Unsettled;
   if (!Record.Writer.empty()) {
     Object["writer"] = Record.Writer;
     Object["writer_token"] = Record.WriterToken;
@@ -55,6 +64,7 @@
       !Object.contains("changing") || !Object["changing"].is_boolean() ||
       (Object.contains("era") && !Object["era"].is_number_unsigned()) ||
       (Object.contains("candidate") && !Object["candidate"].is_string()) ||
+      (Object.contains("unsettled") && !isListOfStrings(Object["unsettled"])) ||
       (Object.contains("writer") &&
        (!Object["writer"].is_string() || !Object.contains("writer_token") ||
         !Object["writer_token"].is_number_unsigned())))
@@ -70,6 +80,7 @@
   Result.Changing = Object["changing"].get<bool>();
   Result.PrimaryIncarnation = *Born;
   Result.Candidate = Object.value("candidate", std::string());
+  Result.Unsettled = Object.value("unsettled", std::vector<std::string>());
   Result.Writer = Object.value("writer", std::string());
   Result.WriterToken = Object.value("writer_token", Epoch(0));
   return Result;
--- a/src/cluster/Records.h
+++ b/src/cluster/Records.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace borageridge::cluster {
 
@@ -32,6 +33,11 @@
   /// progress, or is about to be; empty if none. Its promotion may still take
   /// effect.
   std::string Candidate = {};
+  /// Members whose promotion was called for, now or in an earlier change, and
+  /// may still take effect although it was given up. While there are any other
+  /// than the primary, its writes are acknowledged only once it is confirmed
+  /// that none of them had taken over.
+  std::vector<std::string> Unsettled = {};
   /// The coordinator that wrote this record, and its fencing token; for the log
   /// only. Empty and 0 in records of earlier versions.
   std::string Writer = {};
--- a/src/cluster/RecordsTest.cpp
+++ b/src/cluster/RecordsTest.cpp
@@ -9,6 +9,7 @@
   CPPUNIT_TEST_SUITE(RecordsTest);
   CPPUNIT_TEST(aGroupRecordIsRestoredByDecoding);
   CPPUNIT_TEST(theCandidateOfAChangeIsRestoredByDecoding);
+  CPPUNIT_TEST(unsettledMembersOfARecordAreRestoredByDecoding);
   CPPUNIT_TEST(theWriterOfARecordIsRestoredByDecoding);
   CPPUNIT_TEST(aDaemonRecordIsRestoredByDecoding);
   CPPUNIT_TEST(aDaemonRecordWithoutAProcessorShareHasTheDefault);
@@ -31,8 +32,21 @@
                                 12));
   }
 
+  // A list that cannot be read must not count as an empty one.
+  void unsettledMembersOfARecordAreRestoredByDecoding() {
+    const GroupRecord Record{12, 3, "i-1", false, -5, "", {"i-2", "i-3"}};
+    CPPUNIT_ASSERT(decodeGroup(encode(Record), 12).value() == Record);
+    for (const char *List : {"7", "{}", "\"i-2\"", "[7]", "[[\"i-2\"]]"})
+      CPPUNIT_ASSERT_MESSAGE(
+          List, !decodeGroup(std::string(R"({"term":3,"primary":"a",)"
+                                         R"("changing":false,"born":0,)"
+                                         R"("unsettled":)") +
+                                 List + "}",
+                             12));
+  }
+
   void theWriterOfARecordIsRestoredByDecoding() {
-    const GroupRecord Record{12, 3, "i-1", true, -5, "i-2", "entry-1", 7};
+    const GroupRecord Record{12, 3, "i-1", true, -5, "i-2", {}, "entry-1", 7};
     CPPUNIT_ASSERT(decodeGroup(encode(Record), 12).value() == Record);
     for (const char *Writer :
          {R"("writer":7,"writer_token":7)", R"("writer":"entry-1")",
--- a/src/entry/Coordinator.cpp
+++ b/src/entry/Coordinator.cpp
@@ -26,6 +26,7 @@
 // them, so that usually only one call to the store is needed.
 constexpr Duration RankDelay = std::chrono::milliseconds(60);
 constexpr Duration StopPollInterval = std::chrono::milliseconds(20);
+constexpr Duration LeadCheckInterval = std::chrono::milliseconds(500);
 // Reports of peers that are older than this are ignored.
 constexpr Duration ReportLifetime = std::chrono::milliseconds(1200);
 // Shortest interval at which a peer is queried.
@@ -208,15 +209,35 @@
       Record.Epoch, Primary != nullptr && !Primary->ClaimsPrimary, Now);
   Known.GoneSince =
       AbsentSince[Service].update(Record.Epoch, Primary == nullptr, Now);
+  Known.IsSuperseded = Pool.isSuperseded();
+  Known.HasSettled =
+      !Record.Unsettled.empty() &&
+      callsFor(Service, Record, Now).unsettled(Now) != Record.Unsettled;
   return changeCause(Known, Now);
 }
 
+// A primary that has been superseded may claim the role without limit if it
+// does not reach the new one.
+void Coordinator::checkLead(const std::string &Service, Time Now) {
+  Time &CheckedAt = LeadCheckedAt[Service];
+  const pool::ServicePool &Pool = *findPool(Service);
+  if (Now - CheckedAt < LeadCheckInterval || Pool.record().Changing ||
+      !Pool.hasContenders())
+    return;
+  CheckedAt = Now;
+  const auto Check = [](Coordinator &Self, std::string Of) -> Task<void> {
+    co_await Self.findPool(Of)->confirmLead(LeadCheckInterval);
+  };
+  runtime::spawn(S.Io, Check(*this, Service));
+}
+
 void Coordinator::examinePrimaries(Time Now) {
   if (!isActive(Now) || S.Stopping)
     return;
   for (const auto &[Service, Pool] : S.ByService) {
     if (ChangesInProgress.contains(Service))
       continue;
+    checkLead(Service, Now);
     std::vector<change::PrimaryReport> Reports;
     const Cause Reason = causeOf(Service, *Pool, Reports, Now);
     if (Reason == Cause::None)
@@ -235,6 +256,8 @@
   bool Done = false;
   if (Reason == Cause::NoRecord) {
     Done = co_await createRecord(Service);
+  } else if (Reason == Cause::Settled) {
+    Done = co_await confirmSettled(Service);
   } else {
     Done = co_await confirmRecord(Service, Reason);
     if (!Done)
--- a/src/entry/Coordinator.h
+++ b/src/entry/Coordinator.h
@@ -3,6 +3,7 @@
 
 #include "change/ChangePolicy.h"
 #include "change/ObservationTimer.h"
+#include "change/PromotionCalls.h"
 #include "cluster/LocalLease.h"
 #include "entry/Exchange.h"
 #include "entry/State.h"
@@ -70,10 +71,29 @@
   runtime::Task<std::optional<change::MemberReport>>
   promoteCandidate(std::string Service, cluster::GroupRecord Changing,
                    Time CallFrom);
-  enum class CallResult { Accepted, Refused, NotExecuted };
+  enum class CallResult {
+    Accepted,
+    Refused,
+    /// Certainly not, so that the call may be repeated soon.
+    NotExecuted,
+    /// The platform answered, but not whether it executes the call.
+    Unclear,
+    /// There was no answer.
+    Unanswered,
+  };
   runtime::Task<CallResult> callForPromotion(std::string Service,
                                              std::string Member,
                                              cluster::Epoch Token);
+  /// The calls for promotions of a service; from the record if another
+  /// coordinator wrote it.
+  change::PromotionCalls &callsFor(const std::string &Service,
+                                   const cluster::GroupRecord &Record,
+                                   Time Now);
+  /// Whether the member does not respond for so long that another is named.
+  bool cannotTakeOver(const std::string &Service, const std::string &Member,
+                      Time Now);
+  void checkLead(const std::string &Service, Time Now);
+  runtime::Task<bool> confirmSettled(std::string Service);
   std::int64_t incarnationOf(const std::string &Member) const;
   runtime::Task<void> endLease(keyvalue::LeaseId Id, keyvalue::Era GrantedIn);
   runtime::Task<void> stepDown(pool::ServicePool &Pool, std::string Service,
@@ -94,6 +114,16 @@
   /// Candidates that did not take over although this daemon waited for them, or
   /// that are not running; by service.
   std::map<std::string, std::string> FailedCandidates;
+  struct Calls {
+    /// The last record that this daemon wrote; the calls are complete as long
+    /// as no other coordinator has written one.
+    cluster::Epoch WrittenAt = 0;
+    change::PromotionCalls Made;
+  };
+  std::map<std::string, Calls> CallsByService;
+  /// Highest term that a member of the service has reported.
+  std::map<std::string, Term> NewestTerms;
+  std::map<std::string, Time> LeadCheckedAt;
   /// Services whose primary is being changed.
   std::set<std::string> ChangesInProgress;
   /// Since when the primary of a service has not claimed the role, and since
--- a/src/entry/Events.cpp
+++ b/src/entry/Events.cpp
@@ -7,12 +7,13 @@
   return telemetry::describeAll(
       Started, Ready, Draining, Stopped, SettingsReloaded, StartFailed,
       ConfigApplied, ConfigSkipped, EntryIgnored, RecordApplied,
-      PrimaryUseEnded, MemberLeaving, MemberSuspected, MemberRecovered,
-      ConnectionRefused, StoreLost, StoreRegained, StoreRestored, LeaseGranted,
-      LeaseLost, PeersLost, PeerSeen, PeerMessageRejected, TaskFailed,
-      DutyTaken, DutyLost, ChangeStarted, ChangeStep, PromotionCalled,
-      PromotionAnswered, ChangeCompleted, ChangeFailed, UseRelinquished,
-      RequestRefused, RequestRetried, LinesSuppressed);
+      PrimaryUseEnded, PrimarySuperseded, MemberLeaving, MemberSuspected,
+      MemberRecovered, ConnectionRefused, StoreLost, StoreRegained,
+      StoreRestored, LeaseGranted, LeaseLost, PeersLost, PeerSeen,
+      PeerMessageRejected, TaskFailed, DutyTaken, DutyLost, ChangeStarted,
+      ChangeStep, PromotionCalled, PromotionAnswered, ChangeCompleted,
+      ChangeFailed, UseRelinquished, RequestRefused, RequestRetried,
+      LinesSuppressed);
 }
 
 } // namespace borageridge::entry
--- a/src/entry/Events.h
+++ b/src/entry/Events.h
@@ -53,6 +53,10 @@
                     LogLevel::Info,
                     {"service", "epoch", "term", "primary",
                      "acknowledged_writes", "last_write_ms"}};
+inline constexpr EventType<Text, Number, Text, Text> PrimarySuperseded{
+    "primary_superseded",
+    LogLevel::Warning,
+    {"service", "epoch", "primary", "shown_by"}};
 inline constexpr EventType<Text, Text> MemberLeaving{
     "member_leaving", LogLevel::Info, {"service", "member"}};
 inline constexpr EventType<Text, Text, Text> MemberSuspected{
--- a/src/entry/Executor.cpp
+++ b/src/entry/Executor.cpp
@@ -185,6 +185,21 @@
   co_return Result;
 }
 
+bool Executor::needsConfirmation(const Checkout &Connection,
+                                 const ServicePool &Pool, const Attempt &Result,
+                                 bool Wrote) {
+  return Wrote && Connection.OnPrimary && Result &&
+         Result.value().succeeded() && Pool.hasContenders();
+}
+
+// The connection is still checked out meanwhile, so that the end of the use of
+// the primary waits for it.
+Task<bool> Executor::confirm(Checkout Connection, ServicePool &Pool,
+                             Time Deadline) {
+  co_return co_await Pool.confirmLead(Deadline - bootTime()) &&
+      Pool.mayAcknowledge(Connection.Epoch, bootTime());
+}
+
 Task<Reply> Executor::executeOutsideTransaction(Session &S, const Statement &St,
                                                 Time Arrival) {
   const auto None = TransactionState::None;
@@ -205,6 +220,13 @@
   const Time Deadline = deadlineOf(Route, Arrival);
   PlacementRequest D = demandFor(S, Route, Writes, Arrival);
   for (unsigned Count = 1;; ++Count) {
+    const auto CannotConfirm = [&] {
+      return Writes && Pool->mayUsePrimary(bootTime()) &&
+             !Pool->canConfirmLead(bootTime());
+    };
+    if (CannotConfirm())
+      co_return refuse(St, S.Database, ErrorCode::Busy,
+                       "primary cannot be confirmed", "", None, Arrival);
     Expected<Checkout, pool::AcquireFailure> Acquired = co_await Pool->acquire(
         D, S.Database, Route.Priority,
         latestDispatch(Route, Pool->latencyBound(), Arrival), Deadline);
@@ -212,6 +234,11 @@
       co_return refuse(St, S.Database, ErrorCode::Busy, name(Acquired.error()),
                        "", None, Arrival);
     const Checkout Connection = std::move(Acquired).value();
+    if (CannotConfirm()) {
+      Pool->release(Connection);
+      co_return refuse(St, S.Database, ErrorCode::Busy,
+                       "primary cannot be confirmed", "", None, Arrival);
+    }
     const Duration Limit = attemptTimeout(Route, !Writes, Pool->latencyBound(),
                                           Deadline, bootTime());
     const Time SentAt = bootTime();
@@ -219,9 +246,10 @@
                                               Connection.RequiredPosition);
     if (Connection.SlotFree && Result && Result.value().succeeded())
       Pool->recordServiceTime(S.Database, bootTime() - SentAt);
-    const bool MayAcknowledge =
-        !Connection.OnPrimary ||
-        Pool->mayAcknowledge(Connection.Epoch, bootTime());
+    bool MayAcknowledge = !Connection.OnPrimary ||
+                          Pool->mayAcknowledge(Connection.Epoch, bootTime());
+    if (MayAcknowledge && needsConfirmation(Connection, *Pool, Result, Writes))
+      MayAcknowledge = co_await confirm(Connection, *Pool, Deadline);
     if (Result && Result.value().State != None)
       Connection.Link->close();
     const std::uint64_t LogEpoch = Pool->logEpoch();
--- a/src/entry/Executor.h
+++ b/src/entry/Executor.h
@@ -78,6 +78,14 @@
                                          const statement::Statement &St,
                                          Duration Limit,
                                          std::optional<Position> After);
+  /// Whether a successful write needs a confirmation that the primary led.
+  static bool needsConfirmation(const pool::Checkout &Connection,
+                                const pool::ServicePool &Pool,
+                                const Attempt &Result, bool Wrote);
+  /// Waits for that until Deadline. Returns whether the answer may be passed
+  /// on.
+  static runtime::Task<bool> confirm(pool::Checkout Connection,
+                                     pool::ServicePool &Pool, Time Deadline);
   runtime::Task<bool> synchroniseConnection(const pool::Checkout &Connection,
                                             Session &S, pool::ServicePool &Pool,
                                             const statement::Statement &St,
--- a/src/entry/ExecutorTest.cpp
+++ b/src/entry/ExecutorTest.cpp
@@ -48,6 +48,13 @@
   CPPUNIT_TEST(refusedReadReportsAnUnusablePrimary);
   CPPUNIT_TEST(refusedReadReportsThatNoConnectionWasFree);
   CPPUNIT_TEST(writeAnsweredAfterRelinquishingIsInDoubt);
+  CPPUNIT_TEST(writeIsConfirmedByContendersThatAreAskedAfterItsAnswer);
+  CPPUNIT_TEST(writeIsNotConfirmedWithoutContenders);
+  CPPUNIT_TEST(writeAfterAContenderTookOverIsInDoubtAndTheNextIsRefused);
+  CPPUNIT_TEST(commitAfterAContenderTookOverIsInDoubt);
+  CPPUNIT_TEST(busyContenderIsAskedAgain);
+  CPPUNIT_TEST(writeIsRefusedWhileAContenderIsSilent);
+  CPPUNIT_TEST(contenderThatDoesNotRunIsJudgedByTheTermsOfOthers);
   CPPUNIT_TEST(resetsVariablesOfAnotherSession);
   CPPUNIT_TEST(discardedTransactionIsRolledBack);
   CPPUNIT_TEST(connectionHolderKeepsAnIdleConnection);
@@ -256,6 +263,105 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Primary.count("WRITE"));
   }
 
+  static std::string status(const char *Role, Term CurrentTerm) {
+    const std::string Number = std::to_string(CurrentTerm);
+    return std::string("ROW ") + Role + " " + Number + " 1.5 " + Number +
+           " 0 0 1\r\nCOMPLETE -\r\nREADY I 1.5\r\n";
+  }
+
+  /// Lets the record list a member other than the primary as unsettled.
+  void setContender(const std::string &Member) {
+    pool().setRecord({20, 1, "p", false, 0, "", {Member}}, runtime::bootTime());
+  }
+
+  /// Lets the replica answer a question for its state.
+  void setStatus(const char *Role, Term CurrentTerm) {
+    Replica.Answer = [Reply = status(Role, CurrentTerm)](const std::string &) {
+      return std::string_view(Reply);
+    };
+  }
+
+  // Guards against an answer for a write that was committed after a promotion
+  // that had been given up took effect.
+  void writeIsConfirmedByContendersThatAreAskedAfterItsAnswer() {
+    setContender("r");
+    const std::string Reply = status("replica", 1);
+    std::size_t WritesBefore = 0;
+    Replica.Answer = [&](const std::string &) {
+      WritesBefore = Primary.count("WRITE");
+      return std::string_view(Reply);
+    };
+    CPPUNIT_ASSERT(run(S, Write).succeeded());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Replica.count("STATUS"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), WritesBefore);
+  }
+
+  void writeIsNotConfirmedWithoutContenders() {
+    setContender("p");
+    CPPUNIT_ASSERT(run(S, Write).succeeded());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Replica.count("STATUS"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Primary.count("STATUS"));
+  }
+
+  void writeAfterAContenderTookOverIsInDoubtAndTheNextIsRefused() {
+    setContender("r");
+    setStatus("primary", 2);
+    assertError(ErrorCode::InDoubt, run(S, Write));
+    CPPUNIT_ASSERT(pool().isSuperseded());
+    assertError(ErrorCode::Busy, run(S, Write));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Primary.count("WRITE"));
+  }
+
+  void commitAfterAContenderTookOverIsInDoubt() {
+    setContender("r");
+    setStatus("replica", 2);
+    Primary.Answer = [](const std::string &Text) {
+      return Text.find("COMMIT") == std::string::npos ? SuccessInTransaction
+                                                      : Success;
+    };
+    run(S, Begin);
+    run(S, Write);
+    assertError(ErrorCode::InDoubt, run(S, Commit));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Primary.count("COMMIT"));
+  }
+
+  void busyContenderIsAskedAgain() {
+    setContender("r");
+    const std::string Reply = status("replica", 1);
+    Replica.Answer = [&](const std::string &) {
+      return Replica.count("STATUS") < 3
+                 ? std::string_view("ERROR BUSY r\r\nREADY I 1.5\r\n")
+                 : std::string_view(Reply);
+    };
+    CPPUNIT_ASSERT(run(S, Write).succeeded());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), Replica.count("STATUS"));
+  }
+
+  void writeIsRefusedWhileAContenderIsSilent() {
+    setContender("r");
+    Replica.Answer = [](const std::string &) { return std::string_view(); };
+    pool().tick(runtime::bootTime());
+    Io.restart();
+    Io.run_for(milliseconds(800));
+    CPPUNIT_ASSERT(pool().isSuspected("r", runtime::bootTime()));
+    assertError(ErrorCode::Busy, run(S, Write));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Primary.count("WRITE"));
+  }
+
+  // The member may have taken over before it ended.
+  void contenderThatDoesNotRunIsJudgedByTheTermsOfOthers() {
+    catalog::Member Ended = Replica.info();
+    Ended.Id = "e";
+    Ended.Address = "127.0.0.1:1";
+    pool().setMembers({Primary.info(), Replica.info(), Ended},
+                      runtime::bootTime());
+    setContender("e");
+    setStatus("replica", 1);
+    CPPUNIT_ASSERT(run(S, Write).succeeded());
+    setStatus("replica", 2);
+    assertError(ErrorCode::InDoubt, run(S, Write));
+  }
+
   void resetsVariablesOfAnotherSession() {
     Statement Set = make(StatementKind::SetVariable, "SET a 1");
     Set.Name = "a";
--- a/src/entry/PrimaryChange.cpp
+++ b/src/entry/PrimaryChange.cpp
@@ -26,12 +26,31 @@
 constexpr Duration CatchUpTimeout = std::chrono::milliseconds(600);
 constexpr Duration PollInterval = std::chrono::milliseconds(30);
 constexpr Duration PromoteCallTimeout = std::chrono::milliseconds(1000);
-// An accepted promotion takes effect within this time or not at all.
+// Time for a promotion to take effect before it is called for again. The
+// platform sets no limit, so that the first call may still be executed later.
 constexpr Duration TakeoverTimeout = std::chrono::milliseconds(4000);
+// Accepted calls after which another member is named.
+constexpr unsigned MaxAcceptedCalls = 3;
+// Longest time for one candidate.
+constexpr Duration CandidateLimit = std::chrono::milliseconds(20000);
+// Times after which a candidate that refuses connections or is silent is given
+// up.
+constexpr Duration RefusedCandidateTimeout = std::chrono::milliseconds(500);
+constexpr Duration SilentCandidateTimeout = std::chrono::milliseconds(4000);
 // A promotion usually takes effect within this time.
 constexpr Duration PromotionEffectTime = std::chrono::milliseconds(1500);
 // Delay before a call that the platform has not executed is repeated.
 constexpr Duration CallRetryDelay = std::chrono::milliseconds(200);
+// The same for a call that the platform may execute although it answered with
+// an error.
+constexpr Duration UnclearCallRetryDelay = std::chrono::milliseconds(1000);
+// Time for unsettled members to show that they have not taken over.
+constexpr Duration SettleTimeout = std::chrono::milliseconds(1000);
+
+// An entry that cannot be decoded is waited for as long as its lease lasts.
+bool isEntryOfDaemon(const keyvalue::Item &Entry) {
+  return Entry.Lease != 0 || cluster::decodeDaemon(Entry.Value).has_value();
+}
 
 } // namespace
 
@@ -92,6 +111,10 @@
     co_return false;
   }
   Record.Epoch = cluster::makeEpoch(Era, Written.value());
+  const auto Known = CallsByService.find(Service);
+  if (Known != CallsByService.end() && Known->second.WrittenAt != 0 &&
+      Known->second.WrittenAt == Replaces)
+    Known->second.WrittenAt = Record.Epoch;
   co_return true;
 }
 
@@ -106,6 +129,8 @@
   const auto Status = platform::decodeStatus(Answer.value().Rows);
   if (!Status)
     co_return std::nullopt;
+  Term &Newest = NewestTerms[Service];
+  Newest = std::max(Newest, Status->CurrentTerm);
   MemberReport Report;
   Report.Member = Info.Id;
   Report.Leaving = Info.Leaving;
@@ -161,6 +186,10 @@
   Record.Primary = Best->Member;
   Record.PrimaryTerm = Best->CurrentTerm;
   Record.PrimaryIncarnation = incarnationOf(Best->Member);
+  // A restored store may have lost the record of a change.
+  if (S.Store.era() != keyvalue::FirstEra)
+    for (const catalog::Member &Info : findPool(Service)->members())
+      Record.Unsettled.push_back(Info.Id);
   if (!co_await writeRecord(Service, Record, 0))
     co_return false;
   applyRecord(S, Service, Record);
@@ -207,6 +236,21 @@
   co_return true;
 }
 
+Task<bool> Coordinator::confirmSettled(std::string Service) {
+  GroupRecord Record = findPool(Service)->record();
+  const cluster::Epoch Replaced = Record.Epoch;
+  // A call that takes no effect any more may have taken effect before.
+  if (!co_await findPool(Service)->confirmLead(SettleTimeout))
+    co_return false;
+  const Time Now = bootTime();
+  Record.Unsettled = callsFor(Service, Record, Now).unsettled(Now);
+  if (!co_await writeRecord(Service, Record, Replaced))
+    co_return false;
+  applyRecord(S, Service, Record);
+  PeerExchange.announce(Service, Record);
+  co_return true;
+}
+
 // Writes the record again if the cause permits it without a change of primary.
 Task<bool> Coordinator::confirmRecord(std::string Service, Cause Reason) {
   if (Reason == Cause::Restarted)
@@ -221,7 +265,6 @@
 Task<bool> Coordinator::revokeOldPrimary(std::string Service,
                                          GroupRecord Changing) {
   const Time Start = bootTime();
-  const std::uint64_t Epoch = Changing.Epoch;
   std::set<std::string> Relinquished;
   while (bootTime() - Start < RevocationTimeout && isActive(bootTime())) {
     Expected<keyvalue::RangePage> Page =
@@ -240,25 +283,27 @@
     const auto Query = [](Coordinator &Self, std::string Name, std::string Of,
                           GroupRecord Newer,
                           std::shared_ptr<Collected> To) -> Task<void> {
-      if (co_await Self.PeerExchange.requestRelinquish(
-              Name, Of, Newer, Newer.Epoch, RelinquishTimeout))
+      bool HasEnded = true;
+      if (Name == Self.S.Settings.InstanceName)
+        co_await Self.findPool(Of)->relinquish(Newer.Epoch, DrainTimeout);
+      else
+        HasEnded = co_await Self.PeerExchange.requestRelinquish(
+            Name, Of, Newer, Newer.Epoch, RelinquishTimeout);
+      if (HasEnded)
         To->Agreed.insert(Name);
       if (--To->Missing == 0)
         To->Ready.notify();
     };
+    // This daemon uses the primary even if its own entry is gone.
+    std::set<std::string> Users = {S.Settings.InstanceName};
+    for (const keyvalue::Item &Entry : Page.value().Items)
+      if (isEntryOfDaemon(Entry))
+        Users.insert(Entry.Key.substr(cluster::DaemonPrefix.size()));
     std::size_t Pending = 0;
-    for (const keyvalue::Item &Entry : Page.value().Items) {
-      const auto Daemon = cluster::decodeDaemon(Entry.Value);
-      const std::string Name = Entry.Key.substr(cluster::DaemonPrefix.size());
-      if (!Daemon || Relinquished.contains(Name))
+    for (const std::string &Name : Users) {
+      if (Relinquished.contains(Name))
         continue;
       ++Pending;
-      if (Name == S.Settings.InstanceName) {
-        co_await findPool(Service)->relinquish(Epoch, DrainTimeout);
-        Relinquished.insert(Name);
-        --Pending;
-        continue;
-      }
       ++Round->Missing;
       runtime::spawn(S.Io, Query(*this, Name, Service, Changing, Round));
     }
@@ -318,7 +363,14 @@
                                       Failed->second != Changing.Candidate);
   if (MayTakeOver)
     co_return true;
-  const auto Selected = co_await selectCandidate(Service, Old);
+  const Time Now = bootTime();
+  // A member that has taken over late already leads.
+  std::optional<MemberReport> Selected;
+  if (!Changing.Unsettled.empty())
+    Selected = change::findNewLeader(co_await queryMembers(Service),
+                                     Changing.PrimaryTerm, "");
+  if (!Selected)
+    Selected = co_await selectCandidate(Service, Old);
   if (!Selected) {
     S.Log.write(event::ChangeFailed, Service,
                 "no suitable replica found in time");
@@ -329,6 +381,7 @@
     co_return true;
   GroupRecord Named = Changing;
   Named.Candidate = Selected->Member;
+  Named.Unsettled = callsFor(Service, Changing, Now).unsettled(Now);
   if (!co_await writeRecord(Service, Named, Changing.Epoch))
     co_return false;
   Changing = Named;
@@ -338,12 +391,23 @@
   co_return true;
 }
 
+change::PromotionCalls &
+Coordinator::callsFor(const std::string &Service,
+                      const cluster::GroupRecord &Record, Time Now) {
+  Calls &Known = CallsByService[Service];
+  if (Known.WrittenAt != Record.Epoch)
+    Known = {Record.Epoch, change::PromotionCalls(Record, Now)};
+  return Known.Made;
+}
+
 // The lease must last as long as the call, which is cut off then: the platform
 // may not receive it after one of the next coordinator.
 Task<Coordinator::CallResult>
 Coordinator::callForPromotion(std::string Service, std::string Member,
                               cluster::Epoch Token) {
   const Time Start = bootTime();
+  change::PromotionCalls &Made = CallsByService[Service].Made;
+  Made.add(Member, Start);
   S.Log.write(event::PromotionCalled, Service, Member, Token,
               findPool(Service)->record().Epoch);
   ++CallsInFlight;
@@ -360,16 +424,29 @@
   S.Log.write(event::PromotionAnswered, Service, Member, Token,
               Result ? "accepted" : Result.error().Detail,
               runtime::toMilliseconds(bootTime() - Start));
-  // After a lost answer, the status of the member shows whether the promotion
-  // took effect.
-  if (Result || Result.error().Kind == FailureKind::Unknown)
+  if (Result)
     co_return CallResult::Accepted;
+  if (Result.error().Kind == FailureKind::Unknown)
+    co_return Answer ? CallResult::Unclear : CallResult::Unanswered;
+  Made.removeLast(Member);
   co_return Result.error().Kind == FailureKind::Conflict
       ? CallResult::Refused
       : CallResult::NotExecuted;
 }
 
+bool Coordinator::cannotTakeOver(const std::string &Service,
+                                 const std::string &Member, Time Now) {
+  if (!S.Members.contains(Member))
+    return true;
+  const auto Seen = findPool(Service)->evidence(Member, Now);
+  return Seen && Seen->Elapsed >= (Seen->Refused ? RefusedCandidateTimeout
+                                                 : SilentCandidateTimeout);
+}
+
 // Calls for the promotion of the candidate and waits until it leads a new term.
+// A candidate that responds is not given up because its promotion takes long:
+// another member would be promoted no sooner, and the first call could still
+// take effect after that.
 Task<std::optional<MemberReport>>
 Coordinator::promoteCandidate(std::string Service, GroupRecord Changing,
                               Time CallFrom) {
@@ -380,26 +457,48 @@
     Info = Known->second;
   Info.Id = Member;
   Time NextCall = std::max(bootTime(), CallFrom);
-  const Time Deadline = NextCall + TakeoverTimeout;
-  bool Called = false;
+  const Time Deadline = NextCall + CandidateLimit;
+  unsigned AcceptedCalls = 0;
+  bool WasCalled = false;
+  // A leader of this term or an earlier one is not the result of a call.
+  Term Baseline = 0;
   while (holdsRole(Token, bootTime()) && bootTime() < Deadline) {
-    if (!Called && bootTime() >= NextCall) {
+    const std::optional<MemberReport> Report =
+        co_await queryMember(Service, Info);
+    // Of two leaders, the one of the earlier term has been superseded.
+    if (Report && Report->Primary &&
+        Report->CurrentTerm > Changing.PrimaryTerm &&
+        Report->CurrentTerm >= NewestTerms[Service]) {
+      if (WasCalled && Report->CurrentTerm > Baseline)
+        CallsByService[Service].Made.recordEffect(Member);
+      co_return Report;
+    }
+    const bool IsDue = bootTime() >= NextCall;
+    if (cannotTakeOver(Service, Member, bootTime()) ||
+        (IsDue && AcceptedCalls == MaxAcceptedCalls)) {
+      FailedCandidates[Service] = Member;
+      co_return std::nullopt;
+    }
+    if (IsDue) {
+      Baseline = std::max(NewestTerms[Service], Changing.PrimaryTerm);
       const CallResult Result =
           co_await callForPromotion(Service, Member, Token);
       if (Result == CallResult::Refused) {
         FailedCandidates[Service] = Member;
         co_return std::nullopt;
       }
-      Called = Result == CallResult::Accepted;
-      NextCall = bootTime() + CallRetryDelay;
+      AcceptedCalls += Result == CallResult::Accepted ? 1 : 0;
+      const bool Waits =
+          Result == CallResult::Accepted || Result == CallResult::Unanswered;
+      WasCalled = WasCalled || Waits;
+      const Duration RetryDelay = Result == CallResult::Unclear
+                                      ? UnclearCallRetryDelay
+                                      : CallRetryDelay;
+      NextCall = bootTime() + (Waits ? TakeoverTimeout : RetryDelay);
     }
-    const std::optional<MemberReport> Report =
-        co_await queryMember(Service, Info);
-    if (Report && Report->Primary && Report->CurrentTerm > Changing.PrimaryTerm)
-      co_return Report;
     co_await runtime::sleepFor(PollInterval);
   }
-  if (Called)
+  if (WasCalled)
     FailedCandidates[Service] = Member;
   co_return std::nullopt;
 }
@@ -419,6 +518,14 @@
   const GroupRecord Old = Pool->record();
   GroupRecord Changing = Old;
   Changing.Changing = true;
+  change::PromotionCalls &Made = callsFor(Service, Old, bootTime());
+  // A service that was set up anew begins with lower terms.
+  NewestTerms.erase(Service);
+  // The store may have lost the record of any promotion that was called for.
+  if (Reason == Cause::Restored)
+    for (const catalog::Member &Info : Pool->members())
+      Made.addUnknown(Info.Id, bootTime());
+  Changing.Unsettled = Made.unsettled(bootTime());
   if (!co_await writeRecord(Service, Changing, Old.Epoch))
     co_return false;
   if (!co_await revokeOldPrimary(Service, Changing)) {
@@ -435,6 +542,8 @@
   if (Reason == Cause::Interrupted || Reason == Cause::Restored)
     Leader = change::findNewLeader(co_await queryMembers(Service),
                                    Old.PrimaryTerm, Changing.Candidate);
+  if (Leader && Leader->CurrentTerm < NewestTerms[Service])
+    Leader.reset();
   if (Leader) {
     S.Log.write(event::ChangeStep, Service, "new leader found", Leader->Member);
   } else {
@@ -462,6 +571,7 @@
   Record.Primary = Leader->Member;
   Record.PrimaryTerm = Leader->CurrentTerm;
   Record.PrimaryIncarnation = incarnationOf(Leader->Member);
+  Record.Unsettled = Made.unsettled(bootTime());
   if (!co_await writeRecord(Service, Record, Changing.Epoch))
     co_return false;
   applyRecord(S, Service, Record);
--- a/src/entry/PrimaryChangeTest.cpp
+++ b/src/entry/PrimaryChangeTest.cpp
@@ -25,11 +25,10 @@
       Members.back()->Answer = [this, I](const std::string &Text) {
         if (Text.find("STEPDOWN") != std::string::npos && Ids[I] == Leader)
           Leader.clear();
-        Statuses[I] = "ROW " +
-                      std::string(Ids[I] == Leader ? "primary " : "replica ") +
-                      std::to_string(CurrentTerm) + " 1.5 " +
-                      std::to_string(CurrentTerm) +
-                      " 0 0 1\r\nCOMPLETE -\r\nREADY I 1.5\r\n";
+        Statuses[I] =
+            "ROW " + std::string(Ids[I] == Leader ? "primary " : "replica ") +
+            std::to_string(termOf(I)) + " 1.5 " + std::to_string(termOf(I)) +
+            " 0 0 1\r\nCOMPLETE -\r\nREADY I 1.5\r\n";
         return std::string_view(Statuses[I]);
       };
     }
@@ -58,7 +57,7 @@
                              Duration After) -> runtime::Task<void> {
       co_await runtime::sleepFor(After);
       Self.Leader = NewLeader;
-      ++Self.CurrentTerm;
+      Self.CurrentTerm = std::max(Self.CurrentTerm, Self.TermOfOthers) + 1;
     };
     runtime::spawn(Io, TakeOver(*this, std::move(Id), Delay));
   }
@@ -69,13 +68,20 @@
     OnCall(Id);
     if (Id == Stopped)
       return {409, "{}"};
-    if (Id != Leader)
+    if (Id != Leader || TermOfOthers > CurrentTerm)
       promoteAfter(Id, EffectDelay);
     return {200, "{}"};
   }
 
+  Term termOf(std::size_t Member) const {
+    return Ids[Member] == Leader ? CurrentTerm
+                                 : std::max(CurrentTerm, TermOfOthers);
+  }
+
   std::string Leader = "p";
   Term CurrentTerm = 1;
+  /// If higher, the term of the members that do not lead.
+  Term TermOfOthers = 0;
   Duration EffectDelay = milliseconds(200);
   /// A member that is not running, according to the promotion service.
   std::string Stopped;
@@ -104,6 +110,13 @@
   CPPUNIT_TEST(namesAnotherMemberIfTheCandidateIsNotRunning);
   CPPUNIT_TEST(endsTheLeaseOnlyAfterTheCallForAPromotion);
   CPPUNIT_TEST(doesNotCallForAPromotionWithoutTheRole);
+  CPPUNIT_TEST(keepsACandidateWhosePromotionTakesLong);
+  CPPUNIT_TEST(listsACandidateThatAnotherCoordinatorMayHaveCalledFor);
+  CPPUNIT_TEST(keepsUnsettledMembersThroughTheNextChange);
+  CPPUNIT_TEST(aPromotionThatTookEffectLeavesNothingUnsettled);
+  CPPUNIT_TEST(takesAMemberThatTookOverLateAsThePrimary);
+  CPPUNIT_TEST(doesNotTakeALeaderOfAnEarlierTermAsTheResult);
+  CPPUNIT_TEST(keepsTheMembersThatAFirstRecordAfterARestoreLists);
   CPPUNIT_TEST_SUITE_END();
 
   platform::FakeStore Store{Io};
@@ -124,9 +137,14 @@
     return nlohmann::json::parse(Store.value(RecordKey));
   }
 
+  std::vector<std::string> unsettled() const {
+    return storedRecord().value("unsettled", std::vector<std::string>());
+  }
+
   /// Writes the record as another coordinator left it. Without a change in
   /// progress, the primary leaves.
-  void addRecord(bool Changing, const std::string &Candidate) {
+  void addRecord(bool Changing, const std::string &Candidate,
+                 const std::vector<std::string> &Unsettled = {}) {
     nlohmann::json Record = {{"term", 1},
                              {"primary", "p"},
                              {"changing", Changing},
@@ -134,6 +152,8 @@
                              {"era", 1}};
     if (!Candidate.empty())
       Record["candidate"] = Candidate;
+    if (!Unsettled.empty())
+      Record["unsettled"] = Unsettled;
     keyvalue::Transaction Change;
     Change.Puts.push_back({RecordKey, Record.dump(), 0});
     const keyvalue::Revision Written = Store.commit(Change);
@@ -160,11 +180,11 @@
     S.ByService["db"]->setMembers(Infos, runtime::bootTime(), std::nullopt);
   }
 
-  /// Runs until the record names a primary again; the test fails after 5 s.
-  std::string primaryAfterChange() {
+  /// Runs until the record names a primary again; the test fails after Limit.
+  std::string primaryAfterChange(Duration Limit = std::chrono::seconds(5)) {
     const Time Start = runtime::bootTime();
     while (storedRecord().at("changing") || storedRecord().at("term") == 1) {
-      CPPUNIT_ASSERT(runtime::bootTime() - Start < std::chrono::seconds(5));
+      CPPUNIT_ASSERT(runtime::bootTime() - Start < Limit);
       runLoopFor(milliseconds(10));
     }
     return storedRecord().at("primary");
@@ -233,6 +253,85 @@
     CPPUNIT_ASSERT(Group.Calls == Expected);
   }
 
+  // Guards against a second member that is promoted while the promotion of the
+  // first may still take effect.
+  void keepsACandidateWhosePromotionTakesLong() {
+    Group.EffectDelay = milliseconds(5000);
+    startWith(false, "");
+    const std::string Primary = primaryAfterChange(std::chrono::seconds(9));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Group.Calls.size());
+    CPPUNIT_ASSERT_EQUAL(Primary, Group.Calls[0]);
+    CPPUNIT_ASSERT_EQUAL(Primary, Group.Calls[1]);
+    // The second call may take effect after the next change.
+    CPPUNIT_ASSERT(unsettled() == std::vector<std::string>{Primary});
+  }
+
+  void listsACandidateThatAnotherCoordinatorMayHaveCalledFor() {
+    Group.Stopped = "q";
+    startWith(true, "q");
+    CPPUNIT_ASSERT_EQUAL(std::string("r"), primaryAfterChange());
+    CPPUNIT_ASSERT(unsettled() == std::vector<std::string>{"q"});
+  }
+
+  // Guards against a call of two changes ago that takes effect.
+  void keepsUnsettledMembersThroughTheNextChange() {
+    Group.Stopped = "q";
+    addRecord(false, "", {"q"});
+    runtime::spawn(Io, Subject.run());
+    CPPUNIT_ASSERT_EQUAL(std::string("r"), primaryAfterChange());
+    CPPUNIT_ASSERT(unsettled() == std::vector<std::string>{"q"});
+  }
+
+  void aPromotionThatTookEffectLeavesNothingUnsettled() {
+    startWith(false, "");
+    primaryAfterChange();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Group.Calls.size());
+    CPPUNIT_ASSERT(unsettled().empty());
+  }
+
+  void takesAMemberThatTookOverLateAsThePrimary() {
+    addRecord(false, "", {"r"});
+    setMembers("");
+    Group.Leader = "r";
+    Group.CurrentTerm = 2;
+    runtime::spawn(Io, Subject.run());
+    CPPUNIT_ASSERT_EQUAL(std::string("r"), primaryAfterChange());
+    CPPUNIT_ASSERT(Group.Calls.empty());
+    CPPUNIT_ASSERT(unsettled() == std::vector<std::string>{"r"});
+  }
+
+  // Guards against a member that led for a moment and has been superseded
+  // before it was called for.
+  void doesNotTakeALeaderOfAnEarlierTermAsTheResult() {
+    Group.Leader = "r";
+    Group.CurrentTerm = 2;
+    Group.TermOfOthers = 3;
+    startWith(true, "r");
+    const std::string Primary = primaryAfterChange();
+    CPPUNIT_ASSERT_EQUAL(std::string("r"), Primary);
+    CPPUNIT_ASSERT(storedRecord().at("term") > 2);
+  }
+
+  // The restored store may have lost the record of a change whose promotion is
+  // still under way.
+  void keepsTheMembersThatAFirstRecordAfterARestoreLists() {
+    Store.takeCopy();
+    Store.restore();
+    const auto Read = [](PrimaryChangeTest &Self) -> runtime::Task<void> {
+      co_await Self.S.Store.range("borageridge/");
+    };
+    runtime::spawn(Io, Read(*this));
+    runLoopFor(milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(keyvalue::Era(2), S.Store.era());
+    S.Lease.confirm(8, runtime::bootTime(), std::chrono::seconds(60), 2);
+    S.Records["other"].Epoch = cluster::makeEpoch(2, 1);
+    S.ByService["db"] = std::make_unique<pool::ServicePool>(S.Shared, "db");
+    setMembers("");
+    runtime::spawn(Io, Subject.run());
+    runLoopFor(milliseconds(1500));
+    CPPUNIT_ASSERT((unsettled() == std::vector<std::string>{"p", "q", "r"}));
+  }
+
   // Guards against a call that reaches the platform after one of the next
   // coordinator, with the lower fencing token.
   void endsTheLeaseOnlyAfterTheCallForAPromotion() {
--- a/src/entry/TransactionExecution.cpp
+++ b/src/entry/TransactionExecution.cpp
@@ -270,13 +270,23 @@
   ServicePool *Pool = findPool(S.Tx.Route.Service);
   const Checkout Connection = *S.Tx.Connection;
   const bool Wrote = S.Tx.Wrote;
-  const Duration Limit = deadlineOf(S.Tx.Route, Arrival) - bootTime();
+  const Time Deadline = deadlineOf(S.Tx.Route, Arrival);
+  if (Wrote && Pool->mayUsePrimary(bootTime()) &&
+      !Pool->canConfirmLead(bootTime())) {
+    releaseConnection(S, false);
+    S.Tx = Transaction();
+    co_return refuse(St, S.Database, ErrorCode::Aborted,
+                     "primary cannot be confirmed", Connection.Link->member(),
+                     TransactionState::None, Arrival);
+  }
+  const Duration Limit = Deadline - bootTime();
   Pool->reacquireSlot(Connection);
   Attempt Result =
       co_await runOnConnection(Connection, S, *Pool, St, Limit, std::nullopt);
-  const bool MayAcknowledge =
-      !Connection.OnPrimary ||
-      Pool->mayAcknowledge(Connection.Epoch, bootTime());
+  bool MayAcknowledge = !Connection.OnPrimary ||
+                        Pool->mayAcknowledge(Connection.Epoch, bootTime());
+  if (MayAcknowledge && needsConfirmation(Connection, *Pool, Result, Wrote))
+    MayAcknowledge = co_await confirm(Connection, *Pool, Deadline);
   const NextAction Step = actionAfterCommit(Result, MayAcknowledge, Wrote);
   const bool Ended = Result && Result.value().State == TransactionState::None;
   const std::uint64_t LogEpoch = Pool->logEpoch();
--- a/src/pool/MemberHealth.cpp
+++ b/src/pool/MemberHealth.cpp
@@ -13,11 +13,13 @@
 // A request sent before the last reply may still be queued behind other work at
 // the member, so only the time since that reply counts.
 void MemberHealth::recordTimeout(Time Start) {
+  RefusedLast = false;
   if (!SilentSince)
     SilentSince = std::max(Start, LastReply);
 }
 
 void MemberHealth::recordRefusal(Time Now) {
+  RefusedLast = true;
   if (!RefusedSince)
     RefusedSince = Now;
 }
--- a/src/pool/MemberHealth.h
+++ b/src/pool/MemberHealth.h
@@ -32,11 +32,17 @@
   bool isSuspected(Time Now) const;
   std::optional<Evidence> evidence(Time Now) const;
   Time lastReply() const { return LastReply; }
+  /// Whether the last attempt to connect was refused, as others were for Least
+  /// before it.
+  bool isRefusing(Duration Least, Time Now) const {
+    return RefusedSince && RefusedLast && Now - *RefusedSince >= Least;
+  }
 
 private:
   Time LastReply;
   std::optional<Time> SilentSince;
   std::optional<Time> RefusedSince;
+  bool RefusedLast = false;
 };
 
 } // namespace borageridge::pool
--- a/src/pool/ServicePool.cpp
+++ b/src/pool/ServicePool.cpp
@@ -19,6 +19,8 @@
 // Limits of the wait queue: about one second of statements at a typical rate.
 constexpr std::size_t MaxWaiting = 512;
 constexpr std::size_t MaxWaitingBytes = std::size_t(32) << 20;
+// Between two rounds of questions, for example while a member is busy.
+constexpr Duration LeadCheckRepeatDelay = std::chrono::milliseconds(20);
 constexpr std::uint32_t PrimaryLane = 0;
 constexpr std::uint32_t ReplicaLane = 1;
 
@@ -46,6 +48,11 @@
 
 ServicePool::ServicePool(PoolContext &Context, std::string Name)
     : Shared(Context), Service(std::move(Name)),
+      LeadCheck(
+          Context.Io, [this] { return askContenders(); }, LeadCheckRepeatDelay,
+          [this](std::string_view Error) {
+            Shared.Log.write(entry::event::TaskFailed, "lead check", Error);
+          }),
       Queue({MaxWaiting, MaxWaitingBytes}) {
   Spec.Name = Service;
 }
@@ -134,6 +141,9 @@
   }
   const bool Confirmed = SamePrimary && !Newer.Changing && !Record.Changing &&
                          Newer.PrimaryIncarnation == Record.PrimaryIncarnation;
+  // Writing the record again does not give the lead back.
+  if (SamePrimary && !Newer.Changing && isSuperseded())
+    SupersededEpoch = Newer.Epoch;
   if (!Confirmed) {
     logEndOfUse(Now);
     UseBegan = Newer.Epoch;
@@ -168,15 +178,15 @@
   const MemberState *M = find(Record.Primary);
   const bool Left = M != nullptr && M->Info.Leaving &&
                     Now - M->LeavingSince > Shared.LeavingPrimaryLimit;
-  return !Left && Record.Epoch != 0 && !Record.Changing &&
+  return !Left && Record.Epoch != 0 && !Record.Changing && !isSuperseded() &&
          Record.Epoch >= Shared.TrustedFrom && NoNewWorkEpoch < Record.Epoch &&
          RelinquishedEpoch < Record.Epoch && Shared.Lease.isValid(Now);
 }
 
 bool ServicePool::mayAcknowledge(std::uint64_t Epoch, Time Now) const {
   return Epoch >= UseBegan && Epoch <= Record.Epoch && !Record.Changing &&
-         Record.Epoch >= Shared.TrustedFrom && RelinquishedEpoch < Epoch &&
-         Shared.Lease.isValid(Now);
+         !isSuperseded() && Record.Epoch >= Shared.TrustedFrom &&
+         RelinquishedEpoch < Epoch && Shared.Lease.isValid(Now);
 }
 
 bool ServicePool::isUsable(const MemberState &M, Time Now) const {
--- a/src/pool/ServicePool.h
+++ b/src/pool/ServicePool.h
@@ -15,6 +15,7 @@
 #include "pool/MemberHealth.h"
 #include "pool/Placement.h"
 #include "runtime/Async.h"
+#include "runtime/SharedCheck.h"
 #include "telemetry/Log.h"
 
 #include <cstdint>
@@ -100,6 +101,22 @@
   /// Whether replies of the primary to statements of this epoch may be
   /// forwarded to callers.
   bool mayAcknowledge(std::uint64_t Epoch, Time Now) const;
+  /// Whether writes can be confirmed: no member whose promotion may still take
+  /// effect is silent, and none is known to have taken over. Otherwise a write
+  /// would remain in doubt.
+  bool canConfirmLead(Time Now) const;
+  /// Returns whether the primary still led when this was called, as far as the
+  /// members whose promotion may still take effect show; false if they do not
+  /// show it within Limit. Returns at once if there are none.
+  runtime::Task<bool> confirmLead(Duration Limit);
+  /// Whether another member is known to have taken over from the primary of the
+  /// present record.
+  bool isSuperseded() const {
+    return Record.Epoch != 0 && SupersededEpoch == Record.Epoch;
+  }
+  bool hasContenders() const;
+  /// Unsettled members of the record other than the primary.
+  std::vector<std::string> contenders() const;
   /// Counts a write that was acknowledged to a caller, for the log.
   void noteAcknowledgedWrite(Time Now) {
     ++AcknowledgedWrites;
@@ -217,6 +234,11 @@
   void wakeWaiters(Time Now);
   void closePrimaryConnections();
   void logEndOfUse(Time Now);
+  runtime::Task<std::optional<bool>> askContenders();
+  /// Returns false, the result of the check.
+  bool recordSuperseded(const std::string &ShownBy);
+  enum class LeadAnswer { NotLeading, Superseded, NotRunning, None };
+  runtime::Task<LeadAnswer> askForLead(std::string Member);
   void closeSurplus(MemberState &M, Time Now);
   void reportHealth(MemberState &M, Time Now);
 
@@ -234,6 +256,9 @@
   /// First epoch of the present use of the primary, which later records have
   /// confirmed.
   std::uint64_t UseBegan = 0;
+  /// Epoch of a record whose primary another member has taken over from.
+  std::uint64_t SupersededEpoch = 0;
+  runtime::SharedCheck LeadCheck;
   /// Writes acknowledged in the present use of the primary.
   std::uint64_t AcknowledgedWrites = 0;
   Time LastAcknowledgedAt;
--- a/src/pool/ServicePoolTest.cpp
+++ b/src/pool/ServicePoolTest.cpp
@@ -1,5 +1,6 @@
 #include "pool/ServicePool.h"
 
+#include "entry/FakeMember.h"
 #include "runtime/Clock.h"
 #include "telemetry/Log.h"
 
@@ -23,6 +24,7 @@
   CPPUNIT_TEST(relinquishedStatementsStayEndedWhenThePrimaryIsConfirmed);
   CPPUNIT_TEST(recordFromBeforeTheTrustedEpochPermitsNoUse);
   CPPUNIT_TEST(leavingPrimaryIsNotUsedTooLongIfItsEntryIsReadLate);
+  CPPUNIT_TEST(recordWrittenAgainDoesNotGiveTheLeadBack);
   CPPUNIT_TEST(endOfAnUseTellsHowManyWritesWereAcknowledged);
   CPPUNIT_TEST_SUITE_END();
 
@@ -89,6 +91,28 @@
     CPPUNIT_ASSERT(!Subject.mayUsePrimary(Last + milliseconds(1)));
   }
 
+  void recordWrittenAgainDoesNotGiveTheLeadBack() {
+    entry::FakeMember Other(Io, "q");
+    Other.Answer = [](const std::string &) {
+      return "ROW primary 4 4.1 4 0 0 1\r\nCOMPLETE -\r\nREADY I 4.1\r\n";
+    };
+    Subject.setMembers({Other.info()}, Now);
+    Subject.setRecord({60, 3, "p", false, 0, "", {"q"}}, Now);
+    CPPUNIT_ASSERT(Subject.mayAcknowledge(60, Now));
+    const auto Check = [](ServicePoolTest &Self) -> runtime::Task<void> {
+      co_await Self.Subject.confirmLead(seconds(1));
+      Self.Io.stop();
+    };
+    runtime::spawn(Io, Check(*this));
+    Io.run();
+    CPPUNIT_ASSERT(Subject.isSuperseded());
+    Subject.setRecord({70, 3, "p", false, 0}, Now);
+    CPPUNIT_ASSERT(!Subject.mayUsePrimary(Now));
+    CPPUNIT_ASSERT(!Subject.mayAcknowledge(70, Now));
+    Subject.setRecord({80, 4, "q", false, 0}, Now);
+    CPPUNIT_ASSERT(Subject.mayAcknowledge(80, Now));
+  }
+
   // Guards against logs that do not tell which daemon acknowledged writes under
   // which record.
   void endOfAnUseTellsHowManyWritesWereAcknowledged() {
