Name organisations in the catalogue, the session and the placement request

Cause: organisations, their connections and their quotas are built side by side and need common types. Change: types and fields only; nothing reads them yet. A configuration without organisations leaves them empty.

--- a/src/catalog/Catalog.h
+++ b/src/catalog/Catalog.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace borageridge::catalog {
@@ -31,6 +32,17 @@
   Duration MaxStaleness{};
   /// 0 is the highest.
   std::uint32_t Priority = 0;
+  /// Whether callers need no key.
+  bool Public = false;
+};
+
+/// A customer whose callers identify themselves with keys.
+struct Organisation {
+  std::string Name;
+  /// Operations per second over all daemons; none if not limited.
+  std::optional<double> RatePerSecond;
+  /// Operations that may exceed the rate at once.
+  double Burst = 0;
 };
 
 struct ServiceSpec {
@@ -46,6 +58,12 @@
   std::uint64_t Version = 0;
   std::map<std::string, Route, std::less<>> RoutesByDatabase;
   std::map<std::string, ServiceSpec, std::less<>> Services;
+  /// Whether the configuration names organisations. Without them callers need
+  /// no keys.
+  bool HasOrganisations = false;
+  std::map<std::string, Organisation, std::less<>> Organisations;
+  /// Names of organisations by the fingerprints of their keys.
+  std::map<std::string, std::string, std::less<>> OrganisationByFingerprint;
   /// Idle time after which a transaction may be aborted.
   Duration TransactionIdle{};
 };
--- a/src/entry/Attempts.cpp
+++ b/src/entry/Attempts.cpp
@@ -55,6 +55,7 @@
 PlacementRequest demandFor(const Session &S, const catalog::Route &Route,
                            bool Writes, Time Arrival) {
   PlacementRequest D;
+  D.Organisation = S.Organisation;
   D.NeedsPrimary = Writes || Route.Reads == catalog::Consistency::Primary;
   D.Reads = Route.Reads;
   D.MaxStaleness = Route.MaxStaleness;
--- a/src/entry/Session.h
+++ b/src/entry/Session.h
@@ -51,6 +51,8 @@
 /// The state of one connection of a caller.
 struct Session {
   std::string Database;
+  /// The organisation of the caller; empty if there is none.
+  std::string Organisation;
   statement::SessionState State;
   /// The position of the last commit of this session, and the log epoch in
   /// which it was made.
--- a/src/pool/Placement.h
+++ b/src/pool/Placement.h
@@ -15,6 +15,8 @@
 
 /// Requirements of a statement or transaction on the member that executes it.
 struct PlacementRequest {
+  /// The organisation whose connections are used; empty if there is none.
+  std::string Organisation;
   /// Must be executed on the primary.
   bool NeedsPrimary = false;
   catalog::Consistency Reads = catalog::Consistency::Primary;
