Read the bounds of keys and quotas and the memory limit from the settings

Cause: revocation, quotas and the limits on clients depend on bounds that the platform states. Conclusion: deployments without these settings are read as before.

--- a/src/instance/DaemonSettings.h
+++ b/src/instance/DaemonSettings.h
@@ -35,6 +35,19 @@
   std::uint32_t ProcessorShare = 250;
   /// Number of file descriptors available for sockets.
   std::uint32_t MaxSockets = 1024;
+  /// Memory of the process, in bytes, above which the instance ends it.
+  std::uint64_t MemoryLimitBytes = std::uint64_t(256) << 20;
+  /// Whether a revoked key must be out of use RevocationLimit after the store
+  /// has acknowledged the revocation, even on a daemon that is partitioned.
+  bool StrictRevocation = false;
+  Duration RevocationLimit = std::chrono::seconds(5);
+  /// Operations of an organisation are counted over any window of this length.
+  Duration QuotaWindow = std::chrono::seconds(5);
+  /// Share of an organisation's limit by which the daemons together may exceed
+  /// it.
+  double QuotaOverage = 0.1;
+  /// Operations in a window that they may run beyond that.
+  std::uint32_t QuotaSlack = 20;
 };
 
 } // namespace borageridge::instance
