Identify callers by keys and give each organisation connections of its own

Change: organisations, keys and public routes are decoded into the catalogue; the key decides at the start message, at each statement and before it is sent; a daemon serves keys only while it can show that its configuration is recent (ConfigAge, dated by the question, also through peers); pools keep connections by organisation within one budget. Conclusion: without organisations the bytes to members and peers are as before.

--- a/src/catalog/Catalog.h
+++ b/src/catalog/Catalog.h
@@ -3,6 +3,7 @@
 
 #include "borageridge/Types.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -64,6 +65,8 @@
   std::map<std::string, Organisation, std::less<>> Organisations;
   /// Names of organisations by the fingerprints of their keys.
   std::map<std::string, std::string, std::less<>> OrganisationByFingerprint;
+  /// Entries of organisations that could not be decoded.
+  std::size_t IgnoredOrganisations = 0;
   /// Idle time after which a transaction may be aborted.
   Duration TransactionIdle{};
 };
--- a/src/entry/CallerConnection.cpp
+++ b/src/entry/CallerConnection.cpp
@@ -1,6 +1,6 @@
 #include "entry/CallerConnection.h"
 
-#include "platform/Wire.h"
+#include "authority/Fingerprint.h"
 #include "runtime/Clock.h"
 
 #include <variant>
@@ -89,6 +89,12 @@
     close();
 }
 
+void CallerConnection::closeIfRevoked() {
+  if (!CallerSession.Database.empty() && isIdle() &&
+      S.StatementExecutor.isRevoked(CallerSession, bootTime()))
+    close();
+}
+
 void CallerConnection::close() {
   error_code Ignored;
   Socket.close(Ignored);
@@ -146,6 +152,35 @@
   co_return S.StatementExecutor.route(CallerSession.Database);
 }
 
+// A key does not leave the daemon that its caller is connected to. Another
+// daemon that forwards the session sends the fingerprint.
+std::optional<std::string>
+CallerConnection::authenticate(const platform::StartMessage &Start) {
+  CallerSession.Fingerprint = Forwarder == nullptr
+                                  ? Start.Fingerprint
+                                  : authority::fingerprintOf(Start.Caller);
+  const Time Now = bootTime();
+  const authority::Decision Decided = S.StatementExecutor.decide(
+      CallerSession.Database, CallerSession.Fingerprint, Now);
+  switch (Decided.Result) {
+  case authority::Verdict::Allowed:
+    CallerSession.Organisation = Decided.Organisation;
+    return std::nullopt;
+  case authority::Verdict::UnknownDatabase:
+    return platform::encodeFatalError(ErrorCode::UnknownDatabase,
+                                      "no such database");
+  case authority::Verdict::UnknownKey:
+    S.StatementExecutor.noteRefusedCaller(CallerSession, Decided.Result, Now);
+    return platform::encodeFatalError(ErrorCode::Unauthenticated,
+                                      "unknown key");
+  case authority::Verdict::OutdatedConfig:
+    break;
+  }
+  S.StatementExecutor.noteRefusedCaller(CallerSession, Decided.Result, Now);
+  return platform::encodeFatalError(ErrorCode::Busy,
+                                    "the configuration is outdated");
+}
+
 Task<bool> CallerConnection::start() {
   std::string Text;
   {
@@ -167,14 +202,13 @@
         ErrorCode::Busy, "the configuration is not known yet"));
     co_return false;
   }
-  if (Route == nullptr) {
-    co_await write(platform::encodeFatalError(ErrorCode::UnknownDatabase,
-                                              "no such database"));
+  if (const std::optional<std::string> Refusal = authenticate(*Start)) {
+    co_await write(*Refusal);
     co_return false;
   }
   if (Forwarder != nullptr) {
-    Holder =
-        co_await Forwarder->openSession(Route->Service, CallerSession.Database);
+    Holder = co_await Forwarder->openSession(
+        Route->Service, CallerSession.Database, CallerSession.Fingerprint);
     if (Holder)
       Holder->onRemoteClose([Weak = weak_from_this()] {
         if (const auto Self = Weak.lock())
@@ -215,7 +249,8 @@
   const bool Written = co_await write(platform::encodeReply(Answer));
   const bool HolderLost = Holder && !Holder->isOpen();
   co_return Written && !HolderLost &&
-      Answer.Error != ErrorCode::UnknownDatabase && !endsAfter(Kind);
+      Answer.Error != ErrorCode::UnknownDatabase &&
+      Answer.Error != ErrorCode::Unauthenticated && !endsAfter(Kind);
 }
 
 // The holder executes the statement and decides its outcome. If the holder is
--- a/src/entry/CallerConnection.h
+++ b/src/entry/CallerConnection.h
@@ -3,6 +3,7 @@
 
 #include "entry/Forwarding.h"
 #include "entry/State.h"
+#include "platform/Wire.h"
 
 #include <memory>
 #include <optional>
@@ -36,6 +37,9 @@
   /// Closes the connection if it is idle and its session runs in this daemon
   /// although other daemons hold the connections of its service.
   void closeIfHeldElsewhere();
+  /// Closes the connection if it is idle and the key of its caller has been
+  /// revoked.
+  void closeIfRevoked();
   /// Rolls back the transaction, which waits for its caller. The next statement
   /// is answered with that.
   void abortTransaction();
@@ -51,6 +55,9 @@
   runtime::Task<bool> start();
   runtime::Task<bool> serveMessage();
   runtime::Task<const catalog::Route *> waitForRoute();
+  /// Identifies the caller. Returns the error that ends the connection if it
+  /// may not use the database.
+  std::optional<std::string> authenticate(const platform::StartMessage &Start);
   void closeIfIdle();
   bool isBetweenRequests() const;
   bool endsAfter(statement::StatementKind Answered) const;
--- a/src/entry/Daemon.cpp
+++ b/src/entry/Daemon.cpp
@@ -46,6 +46,8 @@
       View(S), Registrar(S, View), PeerExchange(S),
       ChangeCoordinator(S, PeerExchange, Promotion), SessionForwarding(S) {
   S.Incarnation = Incarnation;
+  if (S.Settings.StrictRevocation)
+    S.StatementExecutor.recency().setLimit(S.Settings.RevocationLimit);
   S.Shared.LeavingPrimaryLimit = S.Settings.LeaveLimit - LeavingReserve;
   S.Store.setRelay([this](http::Request Call, Duration Limit) {
     return PeerExchange.relay(std::move(Call), Limit);
@@ -121,8 +123,11 @@
       });
 }
 
-bool Daemon::isReady(Time /*Now*/) const {
-  return S.Loaded && !S.Stopping && S.StatementExecutor.catalog().Version != 0;
+bool Daemon::isReady(Time Now) const {
+  const catalog::Catalog &Config = S.StatementExecutor.catalog();
+  const bool ServesKeys =
+      !Config.HasOrganisations || S.StatementExecutor.recency().isRecent(Now);
+  return S.Loaded && !S.Stopping && Config.Version != 0 && ServesKeys;
 }
 
 http::Response Daemon::answerReadiness(const http::Request &Call) {
@@ -166,6 +171,7 @@
     for (const auto &[Name, Pool] : S.ByService)
       Pool->tick(Now);
     closeSessionsOfUnreachablePeers();
+    closeRevokedSessions();
     if (!WasReady && isReady(Now)) {
       WasReady = true;
       Log.write(event::Ready, S.StatementExecutor.catalog().Version,
@@ -193,6 +199,15 @@
       Caller->closeIfHeldBy(Name);
 }
 
+void Daemon::closeRevokedSessions() {
+  const std::uint64_t Version = S.StatementExecutor.catalog().Version;
+  if (std::exchange(RevocationsApplied, Version) == Version)
+    return;
+  const CallerSet Open = *Callers;
+  for (const auto &Caller : Open)
+    Caller->closeIfRevoked();
+}
+
 Task<void> Daemon::handleSignals() {
   runtime::asio::signal_set Signals(Io, SIGTERM, SIGINT, SIGHUP);
   for (;;) {
--- a/src/entry/Daemon.h
+++ b/src/entry/Daemon.h
@@ -48,6 +48,8 @@
   void closeCallerListeners();
   void closeCallers(const StopPlan &Plan, Time Now);
   void closeSessionsOfUnreachablePeers();
+  /// Closes idle sessions whose keys the newest configuration has revoked.
+  void closeRevokedSessions();
   runtime::Task<void> rebalance();
   bool isReady(Time Now) const;
   http::Response answerReadiness(const http::Request &Call);
@@ -66,6 +68,8 @@
   std::vector<std::shared_ptr<runtime::Listener>> CallerListeners;
   LogRateLimiter RejectionLog;
   bool WasReady = false;
+  /// Version whose revocations have been applied to the sessions.
+  std::uint64_t RevocationsApplied = 0;
   /// Whether a stop has ended the role of coordinator, if the daemon had it.
   bool Resigned = false;
 };
--- a/src/entry/EntryMetrics.cpp
+++ b/src/entry/EntryMetrics.cpp
@@ -34,6 +34,12 @@
                   .Name("borageridge_primary_changes_total")
                   .Help("Changes of primary begun by this daemon")
                   .Register(Registry)),
+      RefusedCallers(
+          prometheus::BuildCounter()
+              .Name("borageridge_refused_callers_total")
+              .Help("Start messages and statements whose caller may not use "
+                    "the database, by reason")
+              .Register(Registry)),
       Retries(prometheus::BuildCounter()
                   .Name("borageridge_retries_total")
                   .Help("Further attempts to run a statement")
@@ -72,6 +78,10 @@
   RejectedPeerMessages.Increment();
 }
 
+void EntryMetrics::addRefusedCaller(std::string_view Why) {
+  RefusedCallers.Add({{"reason", std::string(Why)}}).Increment();
+}
+
 void EntryMetrics::addRetry() { Retries.Increment(); }
 
 void EntryMetrics::addRead(bool OnPrimary) {
--- a/src/entry/EntryMetrics.h
+++ b/src/entry/EntryMetrics.h
@@ -30,6 +30,8 @@
   void addRead(bool OnPrimary);
   void addChange(std::string_view Cause);
   void addRejectedPeerMessage();
+  /// Why: a constant name.
+  void addRefusedCaller(std::string_view Why);
   void setState(std::uint64_t ConfigVersion, std::size_t Sessions,
                 std::size_t Waiting, std::size_t Connections,
                 std::uint64_t StoreCalls, std::uint64_t Opened);
@@ -43,6 +45,7 @@
   prometheus::Family<prometheus::Counter> &Errors;
   prometheus::Family<prometheus::Counter> &Reads;
   prometheus::Family<prometheus::Counter> &Changes;
+  prometheus::Family<prometheus::Counter> &RefusedCallers;
   prometheus::Counter &Retries;
   prometheus::Counter &RejectedPeerMessages;
   prometheus::Counter &ReplicaReads;
--- a/src/entry/Events.h
+++ b/src/entry/Events.h
@@ -120,6 +120,11 @@
                    LogLevel::Warning,
                    {"request", "database", "service", "error", "reason",
                     "member", "waited_ms", "config_version", "epoch"}};
+inline constexpr EventType<Text, Text, Text, Number, Number> CallerRefused{
+    "caller_refused",
+    LogLevel::Warning,
+    {"database", "key_fingerprint", "reason", "config_version",
+     "config_age_ms"}};
 inline constexpr EventType<Text, Text, Text, Number> RequestRetried{
     "request_retried",
     LogLevel::Info,
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -170,6 +170,10 @@
   Report.Received = Now;
   Report.ReachesStore = Answer.ReachesStore;
   S.NewestConfigSeen = std::max(S.NewestConfigSeen, Answer.ConfigVersion);
+  // The age is relative to the time of the answer; see the sample below.
+  if (Answer.ConfigAge)
+    S.StatementExecutor.recency().config().confirm(
+        RequestedAt - *Answer.ConfigAge, Answer.ConfigVersion);
   for (const peer::GroupReport &Group : Answer.Groups) {
     applyEncodedRecord(S, Group.Record);
     const std::string &Service = Group.Record.Service;
@@ -244,6 +248,9 @@
       Result.StarvedMembers.push_back(Member);
   }
   Result.ConfigVersion = S.StatementExecutor.catalog().Version;
+  const authority::Recency &Recency = S.StatementExecutor.recency();
+  if (S.StatementExecutor.catalog().HasOrganisations && Recency.hasLimit())
+    Result.ConfigAge = Recency.config().age(Now);
   Result.ReachesStore = S.Store.isReachable(Now);
   return Result;
 }
--- a/src/entry/Executor.cpp
+++ b/src/entry/Executor.cpp
@@ -35,6 +35,74 @@
   return Found == Config.RoutesByDatabase.end() ? nullptr : &Found->second;
 }
 
+authority::Decision Executor::decide(std::string_view Database,
+                                     std::string_view Fingerprint,
+                                     Time Now) const {
+  return authority::decide(Config, route(Database), Fingerprint,
+                           ConfigRecency.isRecent(Now));
+}
+
+bool Executor::isRevoked(const Session &S, Time Now) const {
+  return Config.HasOrganisations &&
+         decide(S.Database, S.Fingerprint, Now).Result ==
+             authority::Verdict::UnknownKey;
+}
+
+void Executor::noteRefusedCaller(const Session &S, authority::Verdict Why,
+                                 Time Now) {
+  Metrics.addRefusedCaller(authority::name(Why));
+  if (!RequestLogLimiter.tryAcquire(Now))
+    return;
+  const std::optional<Duration> Age = ConfigRecency.config().age(Now);
+  Log.write(event::CallerRefused, S.Database, S.Fingerprint,
+            authority::name(Why), Config.Version,
+            Age ? runtime::toMilliseconds(*Age) : 0);
+}
+
+// A transaction keeps the route with which it began, and is ended if its caller
+// has lost its key or now belongs to another organisation.
+std::optional<Reply> Executor::refuseWithoutAuthority(Session &S,
+                                                      const Statement &St,
+                                                      Time Arrival) {
+  if (!Config.HasOrganisations || St.Kind == StatementKind::Rollback ||
+      S.Tx.CurrentPhase == Transaction::Phase::Failed)
+    return std::nullopt;
+  const Time Now = bootTime();
+  const bool InTransaction = S.Tx.CurrentPhase != Transaction::Phase::None;
+  const authority::Decision Decided =
+      authority::decide(Config, InTransaction ? &S.Tx.Route : route(S.Database),
+                        S.Fingerprint, ConfigRecency.isRecent(Now));
+  const bool Allowed = Decided.Result == authority::Verdict::Allowed ||
+                       Decided.Result == authority::Verdict::UnknownDatabase;
+  if (Allowed && (!InTransaction || Decided.Organisation == S.Organisation)) {
+    S.Organisation = Decided.Organisation;
+    return std::nullopt;
+  }
+  noteRefusedCaller(S, Decided.Result, Now);
+  if (InTransaction)
+    failTransaction(S);
+  if (St.Kind == StatementKind::Commit)
+    S.Tx = Transaction();
+  ErrorCode Code = InTransaction ? ErrorCode::Aborted : ErrorCode::Busy;
+  if (Decided.Result == authority::Verdict::UnknownKey)
+    Code = ErrorCode::Unauthenticated;
+  return refuse(St, S.Database, Code, authority::name(Decided.Result), "",
+                S.Tx.state(), Arrival);
+}
+
+bool Executor::hasAuthority(const Session &S, const Checkout &Connection,
+                            Time Now) const {
+  if (!Config.HasOrganisations)
+    return true;
+  const catalog::Route *Route = S.Tx.CurrentPhase == Transaction::Phase::None
+                                    ? route(S.Database)
+                                    : &S.Tx.Route;
+  const authority::Decision Decided = authority::decide(
+      Config, Route, S.Fingerprint, ConfigRecency.isRecent(Now));
+  return Decided.Result == authority::Verdict::Allowed &&
+         Decided.Organisation == Connection.Link->organisation();
+}
+
 ServicePool *Executor::findPool(std::string_view Service) {
   const auto Found = ByService.find(Service);
   return Found == ByService.end() ? nullptr : Found->second.get();
@@ -78,6 +146,8 @@
 }
 
 Task<Reply> Executor::execute(Session &S, Statement St, Time Arrival) {
+  if (std::optional<Reply> Refused = refuseWithoutAuthority(S, St, Arrival))
+    co_return std::move(*Refused);
   switch (St.Kind) {
   case StatementKind::Begin:
   case StatementKind::BeginReadOnly:
@@ -168,7 +238,8 @@
   const Duration Left = Limit - (Now - Start);
   const bool MayAcknowledge =
       !Connection.OnPrimary || Pool.mayAcknowledge(Connection.Epoch, Now);
-  if (!MayAcknowledge || Left <= Duration::zero())
+  if (!MayAcknowledge || Left <= Duration::zero() ||
+      !hasAuthority(S, Connection, Now))
     co_return CallFailure::NotSent;
   std::string Bytes;
   if (St.Kind == StatementKind::Execute) {
@@ -227,6 +298,9 @@
     if (CannotConfirm())
       co_return refuse(St, S.Database, ErrorCode::Busy,
                        "primary cannot be confirmed", "", None, Arrival);
+    if (std::optional<Reply> Refused = refuseWithoutAuthority(S, St, Arrival))
+      co_return std::move(*Refused);
+    D.Organisation = S.Organisation;
     Expected<Checkout, pool::AcquireFailure> Acquired = co_await Pool->acquire(
         D, S.Database, Route.Priority,
         latestDispatch(Route, Pool->latencyBound(), Arrival), Deadline);
--- a/src/entry/Executor.h
+++ b/src/entry/Executor.h
@@ -1,6 +1,7 @@
 #ifndef BORAGERIDGE_ENTRY_EXECUTOR_H
 #define BORAGERIDGE_ENTRY_EXECUTOR_H
 
+#include "authority/Authority.h"
 #include "borageridge/Types.h"
 #include "catalog/Catalog.h"
 #include "entry/EntryMetrics.h"
@@ -30,10 +31,24 @@
   Executor(runtime::asio::io_context &Io, Pools &ByService, telemetry::Log &Log,
            EntryMetrics &Metrics);
 
-  void setCatalog(catalog::Catalog Newer) { Config = std::move(Newer); }
+  void setCatalog(catalog::Catalog Newer) {
+    Config = std::move(Newer);
+    ConfigRecency.config().apply(Config.Version);
+  }
   const catalog::Catalog &catalog() const { return Config; }
   const catalog::Route *route(std::string_view Database) const;
 
+  /// Whether the configuration is recent enough to serve keys.
+  authority::Recency &recency() { return ConfigRecency; }
+  const authority::Recency &recency() const { return ConfigRecency; }
+  /// Decides whether the caller with this key may use the database now.
+  authority::Decision decide(std::string_view Database,
+                             std::string_view Fingerprint, Time Now) const;
+  /// Whether the key of the session has been revoked.
+  bool isRevoked(const Session &S, Time Now) const;
+  /// Records that a caller was refused at its start message.
+  void noteRefusedCaller(const Session &S, authority::Verdict Why, Time Now);
+
   /// Runs one statement and returns its answer. A session runs one statement at
   /// a time.
   runtime::Task<statement::Reply> execute(Session &S, statement::Statement St,
@@ -78,6 +93,15 @@
                                          const statement::Statement &St,
                                          Duration Limit,
                                          std::optional<Position> After);
+  /// Returns the refusal of a statement whose caller may not use its database
+  /// any more, after rolling back its transaction. Otherwise assigns the
+  /// organisation to the session and returns none.
+  std::optional<statement::Reply>
+  refuseWithoutAuthority(Session &S, const statement::Statement &St,
+                         Time Arrival);
+  /// Whether the caller of the session may still use the connection.
+  bool hasAuthority(const Session &S, const pool::Checkout &Connection,
+                    Time Now) const;
   /// Whether a successful write needs a confirmation that the primary led.
   static bool needsConfirmation(const pool::Checkout &Connection,
                                 const pool::ServicePool &Pool,
@@ -112,6 +136,7 @@
   EntryMetrics &Metrics;
   LogRateLimiter RequestLogLimiter;
   catalog::Catalog Config;
+  authority::Recency ConfigRecency;
   Time LatestAnswer = Time::max();
 };
 
--- a/src/entry/Forwarding.cpp
+++ b/src/entry/Forwarding.cpp
@@ -61,7 +61,8 @@
 }
 
 Task<pool::Connection> Forwarding::openSession(std::string Service,
-                                               std::string Database) {
+                                               std::string Database,
+                                               std::string Fingerprint) {
   if (!S.Holders.contains(Service))
     co_return nullptr;
   const std::vector<std::string> ByPreference =
@@ -85,10 +86,18 @@
         Ip, static_cast<std::uint16_t>(Holder.PeerPort + 1));
     auto Link = std::make_shared<pool::EndpointConnection>(S.Io, Name);
     Expected<statement::Reply> Answer = co_await Link->open(
-        To, platform::encodeStart(Database, S.Settings.InstanceName, Database),
+        To,
+        platform::encodeStart(Database, S.Settings.InstanceName,
+                              S.StatementExecutor.catalog().HasOrganisations
+                                  ? Fingerprint
+                                  : Database),
         OpenTimeout);
     if (Answer && !Answer.value().Error)
       co_return Link;
+    // The holder applies another version of the configuration, which concerns
+    // this caller only.
+    if (Answer && Answer.value().Error == statement::ErrorCode::Unauthenticated)
+      continue;
     AvoidUntil[Name] = bootTime() + AvoidancePeriod;
     S.Log.write(event::PeersLost, 1, Name,
                 Answer ? Answer.value().Detail : Answer.error().Detail);
--- a/src/entry/Forwarding.h
+++ b/src/entry/Forwarding.h
@@ -29,8 +29,10 @@
   /// holders by preference, at most MaxTries of them. Returns nullptr if no
   /// holders are selected for the service, or if no holder that is preferred to
   /// this daemon accepts the session.
+  /// Fingerprint: of the caller's key.
   runtime::Task<pool::Connection> openSession(std::string Service,
-                                              std::string Database);
+                                              std::string Database,
+                                              std::string Fingerprint);
 
 private:
   State &S;
--- a/src/entry/Session.h
+++ b/src/entry/Session.h
@@ -51,6 +51,8 @@
 /// The state of one connection of a caller.
 struct Session {
   std::string Database;
+  /// Of the caller's key.
+  std::string Fingerprint;
   /// The organisation of the caller; empty if there is none.
   std::string Organisation;
   statement::SessionState State;
--- a/src/entry/StoreView.cpp
+++ b/src/entry/StoreView.cpp
@@ -122,6 +122,21 @@
                                        static_cast<int>(S.Shared.LiveDaemons));
 }
 
+Duration StoreView::shortWatchTimeout(std::string_view Prefix) const {
+  const bool HasKeys = S.StatementExecutor.catalog().HasOrganisations;
+  return Prefix == platform::ConfigPrefix && HasKeys
+             ? S.StatementExecutor.recency().watchTimeout(ShortWatchTimeout)
+             : ShortWatchTimeout;
+}
+
+// Everything that the store holds has been applied, unless it cannot be decoded
+// or is older than what is in force.
+void StoreView::confirmConfig(Time AskedAt) {
+  if (NewestConfigApplied)
+    S.StatementExecutor.recency().config().confirm(
+        AskedAt, S.StatementExecutor.catalog().Version);
+}
+
 Task<void> StoreView::follow(std::string_view Prefix, bool &Complete) {
   std::optional<keyvalue::WatchPosition> From;
   for (;;) {
@@ -143,7 +158,9 @@
     const bool UseLongWatch = Prefix == cluster::KeyPrefix &&
                               S.Store.isReachable(bootTime()) &&
                               S.Shared.LiveDaemons >= MinDaemonsForLongWatch;
-    const Duration Wait = UseLongWatch ? LongWatchTimeout : ShortWatchTimeout;
+    const Duration Wait =
+        UseLongWatch ? LongWatchTimeout : shortWatchTimeout(Prefix);
+    const Time AskedAt = bootTime();
     Expected<keyvalue::WatchResult> Seen =
         co_await S.Store.watch(std::string(Prefix), *From, Wait);
     const Time Now = bootTime();
@@ -159,6 +176,8 @@
     for (const Change &C : Seen.value().Changes)
       apply(C);
     publishMembers(Now);
+    if (Prefix == platform::ConfigPrefix)
+      confirmConfig(AskedAt);
     From->After = std::max(From->After, Seen.value().StoreRevision);
     if (!Seen.value().Changes.empty())
       co_await runtime::sleepFor(pauseAfterWatch(Prefix, Now));
@@ -252,6 +271,7 @@
 
 Task<Expected<keyvalue::WatchPosition>>
 StoreView::load(std::string_view Prefix) {
+  const Time AskedAt = bootTime();
   Expected<keyvalue::RangePage> Page =
       co_await S.Store.range(std::string(Prefix));
   if (!Page)
@@ -283,6 +303,8 @@
     Absent(std::string(cluster::PromoterKey));
   }
   publishMembers(Now);
+  if (Prefix == platform::ConfigPrefix)
+    confirmConfig(AskedAt);
   co_return keyvalue::WatchPosition{Page.value().StoreEra,
                                     Page.value().StoreRevision};
 }
@@ -327,10 +349,15 @@
   if (Read == ConfigEpoch)
     return;
   Expected<catalog::Catalog> Config = platform::decodeCatalog(Written.Value);
+  NewestConfigApplied = false;
   if (!Config) {
     S.Log.write(event::EntryIgnored, Written.Key, Config.error().Detail);
     return;
   }
+  if (Config.value().IgnoredOrganisations > 0)
+    S.Log.write(event::EntryIgnored, Written.Key,
+                std::to_string(Config.value().IgnoredOrganisations) +
+                    " organisations cannot be decoded");
   ConfigEpoch = Read;
   const catalog::Catalog &Newer = Config.value();
   const std::uint64_t Applied = S.StatementExecutor.catalog().Version;
@@ -353,6 +380,7 @@
     Pool->setSpec(Spec);
   }
   S.StatementExecutor.setCatalog(std::move(Config).value());
+  NewestConfigApplied = true;
 }
 
 void StoreView::applyMember(const Item &Written) {
--- a/src/entry/StoreView.h
+++ b/src/entry/StoreView.h
@@ -31,6 +31,8 @@
   runtime::Task<Expected<keyvalue::WatchPosition>>
   load(std::string_view Prefix);
   void noteFleetEra(keyvalue::Era Era, Time Now);
+  Duration shortWatchTimeout(std::string_view Prefix) const;
+  void confirmConfig(Time AskedAt);
   Duration pauseAfterWatch(std::string_view Prefix, Time Now) const;
   bool holdsConnections() const;
   void updateLoaded(Time Now);
@@ -50,6 +52,8 @@
   std::optional<Time> MembersReadAt;
   /// The write of the last configuration that was read.
   cluster::Epoch ConfigEpoch = 0;
+  /// Whether the last configuration that was read is the applied one.
+  bool NewestConfigApplied = false;
   /// Era in which the daemons were last read, if they were.
   std::optional<keyvalue::Era> FleetEra;
   /// Until then, daemons are kept although their entries are absent.
--- a/src/peer/Messages.cpp
+++ b/src/peer/Messages.cpp
@@ -202,6 +202,8 @@
   Result.InFlight = Reader.counts("in_flight");
   Result.StarvedMembers = Reader.texts("starved");
   Result.ConfigVersion = Reader.number("config");
+  if (Reader.has("config_age_us"))
+    Result.ConfigAge = Reader.duration("config_age_us");
   Result.ReachesStore = Reader.flag("store");
   if (Reader.error())
     return *Reader.error();
@@ -272,11 +274,15 @@
     }
     Groups.push_back(std::move(Entry));
   }
-  return {{"groups", std::move(Groups)},
-          {"in_flight", Report.InFlight},
-          {"starved", Report.StarvedMembers},
-          {"config", Report.ConfigVersion},
-          {"store", Report.ReachesStore}};
+  Message Result = {{"groups", std::move(Groups)},
+                    {"in_flight", Report.InFlight},
+                    {"starved", Report.StarvedMembers},
+                    {"config", Report.ConfigVersion},
+                    {"store", Report.ReachesStore}};
+  if (Report.ConfigAge && *Report.ConfigAge <= MaxDuration)
+    Result["config_age_us"] =
+        microseconds(std::max(*Report.ConfigAge, Duration()));
+  return Result;
 }
 
 Message encode(const RelayReply &Reply) {
--- a/src/peer/Messages.h
+++ b/src/peer/Messages.h
@@ -81,6 +81,9 @@
   /// Members at which the peer lacks connections of its share.
   std::vector<std::string> StarvedMembers;
   std::uint64_t ConfigVersion = 0;
+  /// How long before the report that version is known to have been the newest.
+  /// Stated only if keys can be revoked.
+  std::optional<Duration> ConfigAge;
   bool ReachesStore = false;
 };
 
--- a/src/pool/ConnectionBudget.h
+++ b/src/pool/ConnectionBudget.h
@@ -36,6 +36,8 @@
 
   /// Whether another connection may be opened.
   bool mayOpen(std::uint32_t Held, std::uint32_t Share, Time Now) const;
+  /// Whether a connection may be opened in place of one that is closed.
+  bool mayReplace(Time Now) const { return Now >= NextAttemptAt; }
   /// Whether a connection that has been idle for IdleFor should be closed.
   bool isSurplus(std::uint32_t Held, std::uint32_t Share, Duration IdleFor,
                  Time Now) const;
--- a/src/pool/EndpointConnection.cpp
+++ b/src/pool/EndpointConnection.cpp
@@ -19,8 +19,8 @@
 } // namespace
 
 EndpointConnection::EndpointConnection(runtime::asio::io_context &Io,
-                                       std::string Id)
-    : Socket(Io), Member(std::move(Id)) {}
+                                       std::string Id, std::string Owner)
+    : Socket(Io), Member(std::move(Id)), Organisation(std::move(Owner)) {}
 
 void EndpointConnection::close() {
   error_code Ignored;
--- a/src/pool/EndpointConnection.h
+++ b/src/pool/EndpointConnection.h
@@ -26,7 +26,10 @@
 class EndpointConnection
     : public std::enable_shared_from_this<EndpointConnection> {
 public:
-  EndpointConnection(runtime::asio::io_context &Io, std::string Member);
+  /// Organisation: on whose behalf the connection is opened; empty for the
+  /// daemon itself.
+  EndpointConnection(runtime::asio::io_context &Io, std::string Member,
+                     std::string Organisation = {});
 
   /// Connects and sends the start message. An error reply gives the reason why
   /// the endpoint refused the connection; a failure means that the endpoint was
@@ -48,6 +51,7 @@
   void onRemoteClose(std::function<void()> Handler);
 
   const std::string &member() const { return Member; }
+  const std::string &organisation() const { return Organisation; }
   statement::ConnectionState &state() { return State; }
   Time idleSince() const { return IdleSince; }
   void markIdle(Time Now) { IdleSince = Now; }
@@ -61,6 +65,7 @@
 
   runtime::tcp::socket Socket;
   std::string Member;
+  std::string Organisation;
   std::string Buffer;
   statement::ConnectionState State;
   Time IdleSince;
--- a/src/pool/ServicePool.cpp
+++ b/src/pool/ServicePool.cpp
@@ -206,8 +206,11 @@
   L.Excluded = std::find(D.Excluded.begin(), D.Excluded.end(), M.Info.Id) !=
                D.Excluded.end();
   L.SameZone = M.Info.AvailabilityZone == Shared.AvailabilityZone;
-  L.HasIdleConnection = !M.Idle.empty();
-  L.CanOpenConnection = mayOpen(M, Now);
+  L.HasIdleConnection =
+      std::any_of(M.Idle.begin(), M.Idle.end(), [&](const Connection &C) {
+        return C->organisation() == D.Organisation;
+      });
+  L.CanOpenConnection = mayOpenFor(M, D.Organisation, Now);
   L.Slots = M.Info.Slots;
   L.DaemonCount = HolderCount;
   L.OwnInFlight = M.inFlight();
@@ -232,20 +235,23 @@
   std::optional<Placement> Chosen = chooseMember(Loads, D, Required, Now);
   if (Chosen && Chosen->NeedsConnection) {
     MemberState &Wanted = *States[Chosen->Member];
-    if (Wanted.Opening < std::max<std::size_t>(1, Queue.size()))
-      openConnection(Wanted.Info.Id);
+    const auto Opening = Wanted.OpeningFor.find(D.Organisation);
+    if (Opening == Wanted.OpeningFor.end() ||
+        Opening->second < waitingFor(D.Organisation))
+      openConnection(Wanted.Info.Id, D.Organisation, Now);
     for (MemberLoad &L : Loads)
       L.CanOpenConnection = false;
     Chosen = chooseMember(Loads, D, Required, Now);
   }
   if (!Chosen)
     return std::nullopt;
-  return checkOut(*States[Chosen->Member], *Chosen);
+  return checkOut(*States[Chosen->Member], *Chosen, D.Organisation);
 }
 
 std::optional<Checkout> ServicePool::checkOut(MemberState &M,
-                                              const Placement &Chosen) {
-  Connection Link = takeIdle(M);
+                                              const Placement &Chosen,
+                                              std::string_view Organisation) {
+  Connection Link = takeIdle(M, Organisation);
   if (!Link)
     return std::nullopt;
   const bool SlotFree = M.inFlight() + M.OthersInFlight < M.Info.Slots;
@@ -266,6 +272,8 @@
   admission::Ticket Ticket;
   Ticket.Id = ++LastTicket;
   Ticket.Caller = std::string(Database);
+  if (!Self.D.Organisation.empty())
+    Ticket.Caller.append(" ").append(Self.D.Organisation);
   Ticket.Priority = Priority;
   Ticket.Deadline = Deadline;
   Ticket.Lane = Self.D.NeedsPrimary ? PrimaryLane : ReplicaLane;
@@ -280,6 +288,7 @@
         ? AcquireFailure::TimedOut
         : AcquireFailure::QueueFull;
   Waiters.emplace(Id, &Self);
+  ++WaitersOf[Self.D.Organisation];
   for (const admission::Ticket &Out : Admitted.value().Displaced)
     if (const auto Found = Waiters.find(Out.Id); Found != Waiters.end())
       Found->second->Ready.notify();
@@ -293,6 +302,8 @@
       Queue.contains(Id))
     co_await Self.Ready.wait(Deadline - bootTime());
   Waiters.erase(Id);
+  if (--WaitersOf[Self.D.Organisation] == 0)
+    WaitersOf.erase(Self.D.Organisation);
   Queue.remove(Id);
   if (Self.Assigned)
     co_return std::move(*Self.Assigned);
--- a/src/pool/ServicePool.h
+++ b/src/pool/ServicePool.h
@@ -194,6 +194,8 @@
     /// statement.
     std::set<Connection> IdleInTransaction;
     std::uint32_t Opening = 0;
+    /// Connections that are being opened, by organisation.
+    std::map<std::string, std::uint32_t, std::less<>> OpeningFor;
     std::uint32_t OthersInFlight = 0;
     Position Applied;
     Time AppliedSeenAt;
@@ -218,14 +220,30 @@
   bool isUsable(const MemberState &M, Time Now) const;
   std::uint32_t connectionLimit() const;
   bool mayOpen(const MemberState &M, Time Now) const;
+  /// Whether a connection of the organisation may be opened, if need be in
+  /// place of an idle one of another organisation.
+  bool mayOpenFor(MemberState &M, std::string_view Organisation,
+                  Time Now) const;
+  std::size_t waitingFor(std::string_view Organisation) const;
   MemberLoad loadOf(MemberState &M, const PlacementRequest &D, Time Now) const;
   std::optional<Checkout> tryPlace(const PlacementRequest &D, Time Now);
   bool hasUsableMember(const PlacementRequest &D, Time Now) const;
-  std::optional<Checkout> checkOut(MemberState &M, const Placement &Chosen);
-  Connection takeIdle(MemberState &M);
-  void openConnection(const std::string &Member);
-  runtime::Task<void> open(std::string Member);
-  runtime::Task<Connection> connect(std::string Member, Duration Limit);
+  std::optional<Checkout> checkOut(MemberState &M, const Placement &Chosen,
+                                   std::string_view Organisation);
+  /// Returns the idle connection of the organisation that was used last;
+  /// nullptr if there is none.
+  static Connection takeIdle(MemberState &M, std::string_view Organisation);
+  /// Returns any idle connection, for requests of the daemon itself.
+  static Connection takeAnyIdle(MemberState &M);
+  /// The idle connection of another organisation that may give way to a new
+  /// one, if any.
+  static std::vector<Connection>::iterator
+  replaceable(MemberState &M, std::string_view Organisation, Time Now);
+  void openConnection(const std::string &Member,
+                      const std::string &Organisation, Time Now);
+  runtime::Task<void> open(std::string Member, std::string Organisation);
+  runtime::Task<Connection> connect(std::string Member,
+                                    std::string Organisation, Duration Limit);
   runtime::Task<void> probe(std::string Member);
   runtime::Task<Connection> takeOrConnect(std::string Member, Duration Limit);
   void putBack(const Connection &Link, Time Now);
@@ -268,6 +286,8 @@
   std::map<std::string, LatencyEstimate, std::less<>> ServiceTimeByDatabase;
   admission::AdmissionQueue Queue;
   std::map<admission::TicketId, Waiter *> Waiters;
+  /// Number of Waiters by organisation.
+  std::map<std::string, std::size_t, std::less<>> WaitersOf;
   admission::TicketId LastTicket = 0;
   bool WakingWaiters = false;
   bool IsConnectionHolder = true;
--- a/src/pool/ServicePoolConnections.cpp
+++ b/src/pool/ServicePoolConnections.cpp
@@ -4,6 +4,7 @@
 #include "platform/Wire.h"
 #include "runtime/Clock.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace borageridge::pool {
@@ -16,6 +17,10 @@
 
 // Covers the connect, the connection setup at the endpoint and queueing there.
 constexpr Duration OpenLimit = std::chrono::milliseconds(700);
+// Idle time after which a connection may give way to another organisation. A
+// transaction or a busy organisation takes its connection again within this
+// time.
+constexpr Duration MinIdleToReplace = std::chrono::milliseconds(20);
 
 } // namespace
 
@@ -34,7 +39,42 @@
              : Connections == 0 && M.Budget.mayOpen(Connections, 1, Now);
 }
 
-Connection ServicePool::takeIdle(MemberState &M) {
+std::vector<Connection>::iterator
+ServicePool::replaceable(MemberState &M, std::string_view Organisation,
+                         Time Now) {
+  return std::find_if(M.Idle.begin(), M.Idle.end(), [&](const Connection &C) {
+    return C->organisation() != Organisation &&
+           Now - C->idleSince() >= MinIdleToReplace;
+  });
+}
+
+bool ServicePool::mayOpenFor(MemberState &M, std::string_view Organisation,
+                             Time Now) const {
+  return mayOpen(M, Now) || (M.Budget.mayReplace(Now) &&
+                             replaceable(M, Organisation, Now) != M.Idle.end());
+}
+
+std::size_t ServicePool::waitingFor(std::string_view Organisation) const {
+  const auto Found = WaitersOf.find(Organisation);
+  return Found == WaitersOf.end() ? 0 : Found->second;
+}
+
+Connection ServicePool::takeIdle(MemberState &M,
+                                 std::string_view Organisation) {
+  for (auto It = M.Idle.end(); It != M.Idle.begin();) {
+    --It;
+    if ((*It)->organisation() != Organisation)
+      continue;
+    Connection Link = std::move(*It);
+    It = M.Idle.erase(It);
+    if (Link->isReusable())
+      return Link;
+    Link->close();
+  }
+  return nullptr;
+}
+
+Connection ServicePool::takeAnyIdle(MemberState &M) {
   while (!M.Idle.empty()) {
     Connection Link = std::move(M.Idle.back());
     M.Idle.pop_back();
@@ -45,19 +85,33 @@
   return nullptr;
 }
 
-void ServicePool::openConnection(const std::string &Member) {
+// Idle is ordered by the time of the last use, so that the first connection of
+// another organisation is the one that was used least recently.
+void ServicePool::openConnection(const std::string &Member,
+                                 const std::string &Organisation, Time Now) {
   MemberState *M = find(Member);
+  if (!mayOpen(*M, Now)) {
+    const auto Oldest = replaceable(*M, Organisation, Now);
+    if (Oldest == M->Idle.end())
+      return;
+    (*Oldest)->close();
+    M->Idle.erase(Oldest);
+  }
   ++M->Opening;
-  runtime::spawn(Shared.Io, open(Member));
+  ++M->OpeningFor[Organisation];
+  runtime::spawn(Shared.Io, open(Member, Organisation));
 }
 
-Task<void> ServicePool::open(std::string Member) {
-  Connection Link = co_await connect(Member, OpenLimit);
+Task<void> ServicePool::open(std::string Member, std::string Organisation) {
+  Connection Link = co_await connect(Member, Organisation, OpenLimit);
   const Time Now = bootTime();
   MemberState *M = find(Member);
   if (M == nullptr)
     co_return;
   --M->Opening;
+  if (const auto Count = M->OpeningFor.find(Organisation);
+      Count != M->OpeningFor.end() && --Count->second == 0)
+    M->OpeningFor.erase(Count);
   if (Link && M->Registered) {
     Link->markIdle(Now);
     M->Idle.push_back(std::move(Link));
@@ -65,15 +119,20 @@
   wakeWaiters(Now);
 }
 
-Task<Connection> ServicePool::connect(std::string Member, Duration Limit) {
+Task<Connection> ServicePool::connect(std::string Member,
+                                      std::string Organisation,
+                                      Duration Limit) {
   MemberState *M = find(Member);
   runtime::tcp::endpoint To;
   if (M == nullptr || runtime::parseEndpoint(M->Info.Address, To))
     co_return nullptr;
   const Time Start = bootTime();
-  const auto Link = std::make_shared<EndpointConnection>(Shared.Io, Member);
+  const auto Link =
+      std::make_shared<EndpointConnection>(Shared.Io, Member, Organisation);
+  const std::string &User =
+      Organisation.empty() ? Shared.InstanceName : Organisation;
   Expected<Reply> Answer = co_await Link->open(
-      To, platform::encodeStart(Service, Shared.InstanceName, Member), Limit);
+      To, platform::encodeStart(Service, User, Member), Limit);
   const Time Now = bootTime();
   M = find(Member);
   if (M == nullptr)
@@ -160,9 +219,9 @@
   MemberState *M = find(Member);
   if (M == nullptr)
     co_return nullptr;
-  if (Connection Link = takeIdle(*M))
+  if (Connection Link = takeAnyIdle(*M))
     co_return Link;
-  co_return co_await connect(Member, Limit);
+  co_return co_await connect(Member, {}, Limit);
 }
 
 void ServicePool::putBack(const Connection &Link, Time Now) {
