--- a/src/cluster/Records.h
+++ b/src/cluster/Records.h
@@ -18,6 +18,7 @@
 constexpr std::string_view GroupPrefix = "borageridge/groups/";
 constexpr std::string_view DaemonPrefix = "borageridge/daemons/";
 constexpr std::string_view PromoterKey = "borageridge/promoter";
+constexpr std::string_view CounterPrefix = "borageridge/counters/";
 
 /// The primary of a service, as agreed through the key-value store.
 struct GroupRecord {
--- a/src/entry/Daemon.cpp
+++ b/src/entry/Daemon.cpp
@@ -44,11 +44,19 @@
                telemetry::Log &Output)
     : Io(Context), Log(Output), S(Context, std::move(Settings), Store, Output),
       View(S), Registrar(S, View), PeerExchange(S),
-      ChangeCoordinator(S, PeerExchange, Promotion), SessionForwarding(S) {
+      ChangeCoordinator(S, PeerExchange, Promotion), SessionForwarding(S),
+      OrganisationQuotas(S) {
   S.Incarnation = Incarnation;
   if (S.Settings.StrictRevocation)
     S.StatementExecutor.recency().setLimit(S.Settings.RevocationLimit);
   S.Shared.LeavingPrimaryLimit = S.Settings.LeaveLimit - LeavingReserve;
+  S.StatementExecutor.setOperationGate(
+      [this](std::string Organisation, Time Deadline) {
+        return OrganisationQuotas.admit(std::move(Organisation), Deadline);
+      });
+  PeerExchange.setQuotaHandler([this](const peer::QuotaRequest &Asked) {
+    return OrganisationQuotas.answer(Asked);
+  });
   S.Store.setRelay([this](http::Request Call, Duration Limit) {
     return PeerExchange.relay(std::move(Call), Limit);
   });
@@ -66,6 +74,7 @@
   Keep("registration", [this] { return Registrar.run(); });
   Keep("exchange", [this] { return PeerExchange.run(); });
   Keep("coordinator", [this] { return ChangeCoordinator.run(); });
+  Keep("quotas", [this] { return OrganisationQuotas.run(); });
   Keep("tick", [this] { return tick(); });
   Keep("rebalance", [this] { return rebalance(); });
   Keep("signals", [this] { return handleSignals(); });
@@ -238,6 +247,7 @@
   const Time Start = bootTime();
   S.Stopping = true;
   Log.write(event::Draining, Callers->size());
+  runtime::spawn(Io, OrganisationQuotas.release());
   runtime::spawn(Io, resign(Start + S.Settings.StopLimit / 2));
   StopPlan Plan(Start, S.Settings.StopLimit);
   S.StatementExecutor.setLatestAnswer(Plan.latestAnswer());
--- a/src/entry/Daemon.h
+++ b/src/entry/Daemon.h
@@ -6,6 +6,7 @@
 #include "entry/Coordinator.h"
 #include "entry/Exchange.h"
 #include "entry/LogRateLimiter.h"
+#include "entry/Quotas.h"
 #include "entry/Registration.h"
 #include "entry/State.h"
 #include "entry/StopPlan.h"
@@ -63,6 +64,7 @@
   Exchange PeerExchange;
   Coordinator ChangeCoordinator;
   Forwarding SessionForwarding;
+  Quotas OrganisationQuotas;
   std::shared_ptr<CallerSet> Callers = std::make_shared<CallerSet>();
   /// Listeners for callers and for forwarded sessions; empty once closed.
   std::vector<std::shared_ptr<runtime::Listener>> CallerListeners;
--- a/src/entry/EntryMetrics.cpp
+++ b/src/entry/EntryMetrics.cpp
@@ -14,6 +14,7 @@
 // Limits the number of time series: databases beyond this number share one
 // histogram with the label "other".
 constexpr std::size_t MaxDatabases = 200;
+constexpr std::size_t MaxOrganisations = 200;
 
 } // namespace
 
@@ -40,6 +41,11 @@
               .Help("Start messages and statements whose caller may not use "
                     "the database, by reason")
               .Register(Registry)),
+      QuotaDecisions(prometheus::BuildCounter()
+                         .Name("borageridge_quota_operations_total")
+                         .Help("Operations by organisation and by whether its "
+                               "limit allowed them")
+                         .Register(Registry)),
       Retries(prometheus::BuildCounter()
                   .Name("borageridge_retries_total")
                   .Help("Further attempts to run a statement")
@@ -82,6 +88,18 @@
   RefusedCallers.Add({{"reason", std::string(Why)}}).Increment();
 }
 
+void EntryMetrics::addQuotaDecision(std::string_view Organisation,
+                                    bool Granted) {
+  const bool Known = Organisations.contains(Organisation);
+  if (!Known && Organisations.size() < MaxOrganisations)
+    Organisations.emplace(Organisation);
+  const bool HasLabel = Known || Organisations.contains(Organisation);
+  QuotaDecisions
+      .Add({{"organisation", HasLabel ? std::string(Organisation) : "other"},
+            {"result", Granted ? "granted" : "denied"}})
+      .Increment();
+}
+
 void EntryMetrics::addRetry() { Retries.Increment(); }
 
 void EntryMetrics::addRead(bool OnPrimary) {
--- a/src/entry/EntryMetrics.h
+++ b/src/entry/EntryMetrics.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -26,6 +27,8 @@
   /// Records a statement that was answered after Latency, with Error if any.
   void addStatement(std::string_view Database, Duration Latency,
                     std::optional<statement::ErrorCode> Error);
+  /// Counts an operation that the limit of its organisation allowed or not.
+  void addQuotaDecision(std::string_view Organisation, bool Granted);
   void addRetry();
   void addRead(bool OnPrimary);
   void addChange(std::string_view Cause);
@@ -46,12 +49,15 @@
   prometheus::Family<prometheus::Counter> &Reads;
   prometheus::Family<prometheus::Counter> &Changes;
   prometheus::Family<prometheus::Counter> &RefusedCallers;
+  prometheus::Family<prometheus::Counter> &QuotaDecisions;
   prometheus::Counter &Retries;
   prometheus::Counter &RejectedPeerMessages;
   prometheus::Counter &ReplicaReads;
   prometheus::Counter &PrimaryReads;
   prometheus::Family<prometheus::Gauge> &State;
   std::map<std::string, prometheus::Histogram *, std::less<>> ByDatabase;
+  /// Labels of organisations in use; bounded.
+  std::set<std::string, std::less<>> Organisations;
 };
 
 } // namespace borageridge::entry
--- a/src/entry/Events.cpp
+++ b/src/entry/Events.cpp
@@ -12,8 +12,8 @@
       StoreRestored, LeaseGranted, LeaseLost, PeersLost, PeerSeen,
       PeerMessageRejected, TaskFailed, DutyTaken, DutyLost, ChangeStarted,
       ChangeStep, PromotionCalled, PromotionAnswered, ChangeCompleted,
-      ChangeFailed, UseRelinquished, RequestRefused, CallerRefused,
-      RequestRetried, LinesSuppressed);
+      ChangeFailed, UseRelinquished, CounterTaken, CounterLost, RequestRefused,
+      CallerRefused, RequestRetried, LinesSuppressed);
 }
 
 } // namespace borageridge::entry
--- a/src/entry/Events.h
+++ b/src/entry/Events.h
@@ -113,6 +113,12 @@
 inline constexpr EventType<Text, Number> UseRelinquished{
     "use_relinquished", LogLevel::Info, {"service", "epoch"}};
 
+// Quotas.
+inline constexpr EventType<Number, Number> CounterTaken{
+    "counter_taken", LogLevel::Info, {"counter", "revision"}};
+inline constexpr EventType<Number, Text> CounterLost{
+    "counter_lost", LogLevel::Info, {"counter", "cause"}};
+
 // Requests.
 inline constexpr EventType<Text, Text, Text, Text, Text, Text, Number, Number,
                            Number>
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -268,6 +268,8 @@
   if (const auto *Wanted =
           std::get_if<peer::RelinquishRequest>(&Request.value()))
     co_return co_await relinquishForPeer(*Wanted);
+  if (const auto *Asked = std::get_if<peer::QuotaRequest>(&Request.value()))
+    co_return encode(AnswerQuota ? AnswerQuota(*Asked) : peer::QuotaReply());
   co_return encode(report(bootTime()));
 }
 
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -4,9 +4,11 @@
 #include "entry/State.h"
 #include "peer/Messages.h"
 
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 
 namespace borageridge::entry {
 
@@ -36,6 +38,12 @@
   /// Sends a group record to all peers without waiting for their answers.
   void announce(const std::string &Service, const cluster::GroupRecord &Newer);
 
+  /// Sets what answers a peer that asks for operations of an organisation.
+  void setQuotaHandler(
+      std::function<peer::QuotaReply(const peer::QuotaRequest &)> Handler) {
+    AnswerQuota = std::move(Handler);
+  }
+
   /// Interval at which peers are queried that are not queried at each interval.
   Duration slowestInterval() const;
 
@@ -54,6 +62,7 @@
   relinquishForPeer(peer::RelinquishRequest Wanted);
 
   State &S;
+  std::function<peer::QuotaReply(const peer::QuotaRequest &)> AnswerQuota;
   /// Peers lost since the last line about them, by failure.
   std::map<std::string, std::set<std::string>> LostPeers;
 };
--- a/src/entry/Executor.cpp
+++ b/src/entry/Executor.cpp
@@ -90,6 +90,15 @@
                 S.Tx.state(), Arrival);
 }
 
+Task<bool> Executor::isWithinLimit(const Session &S,
+                                   const catalog::Route &Route, Time Arrival,
+                                   Time Deadline) {
+  if (S.Organisation.empty() || !Gate)
+    co_return true;
+  co_return co_await Gate(S.Organisation,
+                          std::min(Deadline, Arrival + Route.TargetLatency));
+}
+
 bool Executor::hasAuthority(const Session &S, const Checkout &Connection,
                             Time Now) const {
   if (!Config.HasOrganisations)
@@ -289,6 +298,9 @@
                      "", None, Arrival);
   const bool Writes = writes(S, St);
   const Time Deadline = deadlineOf(Route, Arrival);
+  if (!co_await isWithinLimit(S, Route, Arrival, Deadline))
+    co_return refuse(St, S.Database, ErrorCode::Busy,
+                     "organisation is beyond its limit", "", None, Arrival);
   PlacementRequest D = demandFor(S, Route, Writes, Arrival);
   for (unsigned Count = 1;; ++Count) {
     const auto CannotConfirm = [&] {
--- a/src/entry/Executor.h
+++ b/src/entry/Executor.h
@@ -25,6 +25,11 @@
 using Pools =
     std::map<std::string, std::unique_ptr<pool::ServicePool>, std::less<>>;
 
+/// Returns whether an operation of the organisation may run; waits until the
+/// given time at most.
+using OperationGate =
+    std::function<runtime::Task<bool>(std::string Organisation, Time Deadline)>;
+
 /// Runs the statements of callers on the members of their services.
 class Executor {
 public:
@@ -36,6 +41,8 @@
     ConfigRecency.config().apply(Config.Version);
   }
   const catalog::Catalog &catalog() const { return Config; }
+  /// Sets what limits the operations of organisations.
+  void setOperationGate(OperationGate Limits) { Gate = std::move(Limits); }
   const catalog::Route *route(std::string_view Database) const;
 
   /// Whether the configuration is recent enough to serve keys.
@@ -102,6 +109,10 @@
   /// Whether the caller of the session may still use the connection.
   bool hasAuthority(const Session &S, const pool::Checkout &Connection,
                     Time Now) const;
+  /// Whether the limit of the session's organisation allows an operation.
+  runtime::Task<bool> isWithinLimit(const Session &S,
+                                    const catalog::Route &Route, Time Arrival,
+                                    Time Deadline);
   /// Whether a successful write needs a confirmation that the primary led.
   static bool needsConfirmation(const pool::Checkout &Connection,
                                 const pool::ServicePool &Pool,
@@ -137,6 +148,7 @@
   LogRateLimiter RequestLogLimiter;
   catalog::Catalog Config;
   authority::Recency ConfigRecency;
+  OperationGate Gate;
   Time LatestAnswer = Time::max();
 };
 
--- a/src/entry/FakeMember.h
+++ b/src/entry/FakeMember.h
@@ -74,6 +74,8 @@
   };
   /// The received requests, without the start messages of connections.
   std::vector<Request> Requests;
+  /// Start messages, in the order of arrival.
+  std::vector<std::string> Starts;
 
 private:
   runtime::Task<void> accept() {
@@ -98,7 +100,9 @@
       const std::string Text = Buffer.substr(0, Size - 2);
       Buffer.erase(0, Size);
       std::string Bytes = "READY I 1.5\r\n";
-      if (!Text.starts_with("START")) {
+      if (Text.starts_with("START")) {
+        Starts.push_back(Text);
+      } else {
         Requests.push_back({Number, Text});
         Bytes = Answer(Text);
       }
--- a/src/entry/State.h
+++ b/src/entry/State.h
@@ -13,6 +13,7 @@
 #include "keyvalue/StoreClient.h"
 #include "peer/PeerChannel.h"
 #include "pool/ServicePool.h"
+#include "quota/CounterMap.h"
 #include "runtime/Async.h"
 #include "telemetry/Log.h"
 
@@ -85,6 +86,8 @@
   /// its members while the others forward sessions to them. Contains only
   /// services for which not all daemons are holders.
   std::map<std::string, std::vector<std::string>> Holders;
+  /// The holders of the counters of quotas, as the store states them.
+  quota::CounterMap Counters;
   /// The store's entry of the active coordinator; revision 0 if there is none.
   keyvalue::Item Promoter;
   /// Daemons that became unreachable and whose forwarded sessions have not been
--- a/src/entry/StoreView.cpp
+++ b/src/entry/StoreView.cpp
@@ -265,6 +265,7 @@
   if (FleetEra) {
     KeepDaemonsUntil = Now + ReRegistrationTime;
     S.Promoter = Item();
+    S.Counters = quota::CounterMap();
   }
   FleetEra = Era;
 }
@@ -301,6 +302,8 @@
       if (Now >= KeepDaemonsUntil)
         Absent(std::string(cluster::DaemonPrefix) + Name);
     Absent(std::string(cluster::PromoterKey));
+    for (const std::string &Key : S.Counters.keys())
+      Absent(Key);
   }
   publishMembers(Now);
   if (Prefix == platform::ConfigPrefix)
@@ -326,6 +329,8 @@
       applyConfig(Seen.Written);
   } else if (Key.starts_with(cluster::DaemonPrefix)) {
     applyDaemon(Seen);
+  } else if (Key.starts_with(cluster::CounterPrefix)) {
+    S.Counters.apply(Seen);
   } else if (Key == cluster::PromoterKey) {
     if (Seen.Written.ModRevision >= S.Promoter.ModRevision)
       S.Promoter = Seen.Removed ? Item() : Seen.Written;
--- a/src/entry/TransactionExecution.cpp
+++ b/src/entry/TransactionExecution.cpp
@@ -137,6 +137,13 @@
   ServicePool *Pool = findPool(Route.Service);
   const bool Commits = St.Kind == StatementKind::Commit;
   const Time Deadline = deadlineOf(Route, Arrival);
+  if (!co_await isWithinLimit(S, Route, Arrival, Deadline)) {
+    S.Tx.CurrentPhase =
+        Commits ? Transaction::Phase::None : Transaction::Phase::Failed;
+    co_return refuse(St, S.Database, ErrorCode::Busy,
+                     "organisation is beyond its limit", "", S.Tx.state(),
+                     Arrival);
+  }
   PlacementRequest D = demandFor(S, Route, !S.Tx.ReadOnly, S.Tx.Arrival);
   Attempt Result = CallFailure::NotSent;
   std::string_view Reason = "service has no members";
--- a/src/peer/Messages.cpp
+++ b/src/peer/Messages.cpp
@@ -7,6 +7,9 @@
 namespace borageridge::peer {
 namespace {
 
+// Far more than an organisation can run at once.
+constexpr std::uint64_t MaxQuotaTokens = 1 << 20;
+
 // Longer than any age, silence or time limit that a daemon sends.
 constexpr Duration MaxDuration = std::chrono::hours(1);
 
@@ -161,6 +164,10 @@
     return RelinquishRequest{readRecord(Reader), Reader.number("ends")};
   if (Type == "relay")
     return readRelayRequest(Reader);
+  if (Type == "quota")
+    return QuotaRequest{
+        Reader.number("counter"), Reader.text("organisation"),
+        static_cast<std::uint32_t>(Reader.number("wanted", MaxQuotaTokens))};
   Reader.reject("type");
   return ExchangeRequest{};
 }
@@ -224,6 +231,16 @@
   return Result;
 }
 
+Expected<QuotaReply> decodeQuotaReply(const Message &Content) {
+  FieldReader Reader(Content);
+  QuotaReply Result{
+      Reader.flag("holder"),
+      static_cast<std::uint32_t>(Reader.number("granted", MaxQuotaTokens))};
+  if (Reader.error())
+    return *Reader.error();
+  return Result;
+}
+
 bool decodeRelinquished(const Message &Content) {
   FieldReader Reader(Content);
   return Reader.flag("done") && !Reader.error();
@@ -254,6 +271,17 @@
           {"limit_us", microseconds(Asked.Limit)}};
 }
 
+Message encode(const QuotaRequest &Asked) {
+  return {{"type", "quota"},
+          {"counter", Asked.Counter},
+          {"organisation", Asked.Organisation},
+          {"wanted", Asked.Wanted}};
+}
+
+Message encode(const QuotaReply &Reply) {
+  return {{"holder", Reply.IsHolder}, {"granted", Reply.Granted}};
+}
+
 Message encode(const StateReport &Report) {
   Message Groups = Message::array();
   for (const GroupReport &Group : Report.Groups) {
--- a/src/peer/Messages.h
+++ b/src/peer/Messages.h
@@ -46,8 +46,15 @@
   Duration Limit{};
 };
 
+/// Asks the holder of a counter for operations of an organisation.
+struct QuotaRequest {
+  std::uint64_t Counter = 0;
+  std::string Organisation;
+  std::uint32_t Wanted = 0;
+};
+
 using Request = std::variant<ExchangeRequest, RecordNotice, RelinquishRequest,
-                             RelayRequest>;
+                             RelayRequest, QuotaRequest>;
 
 /// How long a primary has not answered.
 struct Silence {
@@ -99,12 +106,20 @@
   std::uint64_t StoreEra = 0;
 };
 
+/// The reply to a QuotaRequest.
+struct QuotaReply {
+  /// Whether the sender holds the counter and knows the organisation's limit.
+  bool IsHolder = false;
+  std::uint32_t Granted = 0;
+};
+
 /// Messages that are not decodable return Corrupt and name the field. Fields
 /// that are absent have the value zero; unknown fields are ignored. Durations
 /// outside of zero to one hour are not accepted.
 Expected<Request> decodeRequest(const Message &Content);
 Expected<StateReport> decodeReport(const Message &Content);
 Expected<RelayReply> decodeRelayReply(const Message &Content);
+Expected<QuotaReply> decodeQuotaReply(const Message &Content);
 /// Whether a peer has ended the use of a primary.
 bool decodeRelinquished(const Message &Content);
 
@@ -112,6 +127,8 @@
 Message encode(const RecordNotice &Notice);
 Message encode(const RelinquishRequest &Asked);
 Message encode(const RelayRequest &Asked);
+Message encode(const QuotaRequest &Asked);
+Message encode(const QuotaReply &Reply);
 Message encode(const StateReport &Report);
 Message encode(const RelayReply &Reply);
 Message encodeRelinquished();
