Ask the store less often for the configuration and the members

Cause: calls of the store cost a deployment with 85 daemons more than anything else that depends on the product; each daemon watched the configuration for 2.5 s at a time and read all members eight times after a start. Change: in fleets of 24 daemons or more the watches of the configuration last 2.5 to 10 s, since peers tell of newer versions; with strict revocation a daemon asks again when what it knows from watches and peers grows old; daemons that hold no connections read the members every 3 s from the start.

--- a/src/authority/Authority.cpp
+++ b/src/authority/Authority.cpp
@@ -1,7 +1,5 @@
 #include "authority/Authority.h"
 
-#include <algorithm>
-
 namespace borageridge::authority {
 
 std::string_view name(Verdict Result) {
@@ -49,11 +47,16 @@
   return Known && *Known < *Limit - SafetyMargin;
 }
 
-// An answer is dated by its question, so that the age reaches twice the wait
-// before the next answer. The rest of the limit covers the way to the store;
-// after a lost answer, peers confirm the configuration.
-Duration Recency::watchTimeout(Duration Usual) const {
-  return Limit ? std::min<Duration>(Usual, *Limit * 2 / 5) : Usual;
+// The rest of the limit covers a slow answer and a second question.
+bool Recency::needsCheck(double Jitter, Time Now) const {
+  if (!Limit)
+    return false;
+  constexpr double Earliest = 0.4;
+  constexpr double Spread = 0.2;
+  const std::optional<Duration> Known = Age.age(Now);
+  const double Share = Earliest + Spread * Jitter;
+  return !Known || static_cast<double>(Known->count()) >=
+                       Share * static_cast<double>(Limit->count());
 }
 
 } // namespace borageridge::authority
--- a/src/authority/Authority.h
+++ b/src/authority/Authority.h
@@ -52,9 +52,10 @@
 
   bool isRecent(Time Now) const;
 
-  /// How long a watch of the configuration may wait so that its answers alone
-  /// keep the configuration recent; at most Usual.
-  Duration watchTimeout(Duration Usual) const;
+  /// Whether the store should be asked again, so that the configuration stays
+  /// recent. Daemons with different values of Jitter, from 0 to 1, ask at
+  /// different ages, and the answer to one reaches the others through peers.
+  bool needsCheck(double Jitter, Time Now) const;
 
 private:
   std::optional<Duration> Limit;
--- a/src/authority/AuthorityTest.cpp
+++ b/src/authority/AuthorityTest.cpp
@@ -24,7 +24,7 @@
   CPPUNIT_TEST(publicRouteNeedsNoKey);
   CPPUNIT_TEST(outdatedConfigurationServesNoKey);
   CPPUNIT_TEST(keysAreServedUntilTheLimitOfRevocations);
-  CPPUNIT_TEST(watchIsShortEnoughForTheLimit);
+  CPPUNIT_TEST(storeIsAskedAgainWellBeforeTheLimit);
   CPPUNIT_TEST(noRevokedKeyIsServedAfterItsLimitWhateverIsLost);
   CPPUNIT_TEST_SUITE_END();
 
@@ -91,12 +91,17 @@
     CPPUNIT_ASSERT(!Seen.isRecent(at(4700)));
   }
 
-  void watchIsShortEnoughForTheLimit() {
-    const Duration Usual = std::chrono::milliseconds(2500);
+  void storeIsAskedAgainWellBeforeTheLimit() {
     Recency Seen;
-    CPPUNIT_ASSERT(Seen.watchTimeout(Usual) == Usual);
+    CPPUNIT_ASSERT(!Seen.needsCheck(0, at(9000)));
     Seen.setLimit(std::chrono::seconds(5));
-    CPPUNIT_ASSERT(Seen.watchTimeout(Usual) == std::chrono::seconds(2));
+    CPPUNIT_ASSERT(Seen.needsCheck(1, at(0)));
+    Seen.config().apply(1);
+    Seen.config().confirm(at(0), 1);
+    CPPUNIT_ASSERT(!Seen.needsCheck(0, at(1999)));
+    CPPUNIT_ASSERT(Seen.needsCheck(0, at(2000)));
+    CPPUNIT_ASSERT(!Seen.needsCheck(1, at(2999)));
+    CPPUNIT_ASSERT(Seen.needsCheck(1, at(3001)));
   }
 
   // Plays every order of questions, answers and a revocation on a grid: each
--- a/src/entry/StoreView.cpp
+++ b/src/entry/StoreView.cpp
@@ -24,6 +24,9 @@
 constexpr Duration ShortWatchTimeout = std::chrono::milliseconds(2500);
 // Smallest fleet in which long watches are used.
 constexpr std::size_t MinDaemonsForLongWatch = 3;
+// Smallest fleet in which peers tell of a new configuration reliably enough.
+constexpr std::size_t MinDaemonsForLongConfigWatch = 24;
+constexpr Duration ConfigAgeInterval = std::chrono::milliseconds(100);
 constexpr Duration PeerConfigInterval = std::chrono::milliseconds(100);
 // A pause after each watch collects several changes in one answer, which costs
 // fewer calls than one per change. It is proportional to the number of daemons,
@@ -102,6 +105,8 @@
 }
 
 Task<void> StoreView::run() {
+  Random.seed(static_cast<std::minstd_rand::result_type>(
+      S.Incarnation ^ std::hash<std::string>()(S.Settings.InstanceName)));
   const auto Keep = [this](const char *Name,
                            std::function<Task<void>()> Follow) {
     runtime::spawn(S.Io, keepRunning(S, Name, std::move(Follow)));
@@ -109,6 +114,7 @@
   Keep("configuration",
        [this] { return follow(platform::ConfigPrefix, ConfigLoaded); });
   Keep("fleet", [this] { return follow(cluster::KeyPrefix, FleetLoaded); });
+  Keep("configuration age", [this] { return keepConfigRecent(); });
   Keep("configuration of peers", [this] { return followPeerConfigVersions(); });
   co_await keepRunning(S, "members", [this] { return pollMembers(); });
 }
@@ -122,11 +128,53 @@
                                        static_cast<int>(S.Shared.LiveDaemons));
 }
 
-Duration StoreView::shortWatchTimeout(std::string_view Prefix) const {
-  const bool HasKeys = S.StatementExecutor.catalog().HasOrganisations;
-  return Prefix == platform::ConfigPrefix && HasKeys
-             ? S.StatementExecutor.recency().watchTimeout(ShortWatchTimeout)
-             : ShortWatchTimeout;
+// Peers tell of a newer configuration, so that in a larger fleet a lost answer
+// matters to one daemon only. The waits differ, since all of them begin
+// together after a change and may be lost together.
+Duration StoreView::watchTimeout(std::string_view Prefix) {
+  const std::size_t Daemons = S.Shared.LiveDaemons;
+  const bool MayBeLong = S.Store.isReachable(bootTime());
+  if (Prefix == cluster::KeyPrefix)
+    return MayBeLong && Daemons >= MinDaemonsForLongWatch ? LongWatchTimeout
+                                                          : ShortWatchTimeout;
+  if (!MayBeLong || Daemons < MinDaemonsForLongConfigWatch)
+    return ShortWatchTimeout;
+  return std::chrono::duration_cast<Duration>(
+      ShortWatchTimeout + (LongWatchTimeout - ShortWatchTimeout) * jitter());
+}
+
+double StoreView::jitter() {
+  return std::uniform_real_distribution<double>(0, 1)(Random);
+}
+
+Task<void> StoreView::keepConfigRecent() {
+  double Jitter = jitter();
+  for (;;) {
+    co_await runtime::sleepFor(ConfigAgeInterval);
+    const Time AskedAt = bootTime();
+    if (!S.Loaded || !ConfigFrom ||
+        !S.StatementExecutor.catalog().HasOrganisations ||
+        !S.StatementExecutor.recency().needsCheck(Jitter, AskedAt))
+      continue;
+    Jitter = jitter();
+    const std::string Prefix(platform::ConfigPrefix);
+    const keyvalue::WatchPosition From = *ConfigFrom;
+    const Expected<keyvalue::WatchResult> Seen =
+        co_await S.Store.watch(Prefix, From, Duration::zero());
+    recordStoreResult("watch", Seen ? nullptr : &Seen.error(), bootTime());
+    if (!Seen) {
+      co_await S.Store.waitUntilReachable(FailurePause);
+      continue;
+    }
+    if (Seen.value().Compacted) {
+      co_await load(platform::ConfigPrefix);
+      continue;
+    }
+    for (const Change &C : Seen.value().Changes)
+      apply(C);
+    publishMembers(bootTime());
+    confirmConfig(AskedAt);
+  }
 }
 
 // Everything that the store holds has been applied, unless it cannot be decoded
@@ -155,11 +203,9 @@
       }
       From = Read.value();
     }
-    const bool UseLongWatch = Prefix == cluster::KeyPrefix &&
-                              S.Store.isReachable(bootTime()) &&
-                              S.Shared.LiveDaemons >= MinDaemonsForLongWatch;
-    const Duration Wait =
-        UseLongWatch ? LongWatchTimeout : shortWatchTimeout(Prefix);
+    const Duration Wait = watchTimeout(Prefix);
+    if (Prefix == platform::ConfigPrefix)
+      ConfigFrom = From;
     const Time AskedAt = bootTime();
     Expected<keyvalue::WatchResult> Seen =
         co_await S.Store.watch(std::string(Prefix), *From, Wait);
@@ -222,7 +268,9 @@
     applyMembers(Page.value(), Now);
     MembersReadAt = Now;
     updateLoaded(Now);
-    const bool Soon = First || IsRecent || IsCoordinator || holdsConnections();
+    // Until the fleet is known, this daemon may become a connection holder.
+    const bool Soon =
+        First || IsCoordinator || holdsConnections() || Now < S.FleetKnownFrom;
     co_await runtime::sleepFor(Soon ? MembersInterval
                                     : NonHolderMembersInterval);
   }
@@ -351,7 +399,8 @@
 void StoreView::applyConfig(const Item &Written) {
   const cluster::Epoch Read =
       cluster::makeEpoch(S.Store.era(), Written.ModRevision);
-  if (Read == ConfigEpoch)
+  // A late answer may show what has been replaced since.
+  if (Read <= ConfigEpoch)
     return;
   Expected<catalog::Catalog> Config = platform::decodeCatalog(Written.Value);
   NewestConfigApplied = false;
--- a/src/entry/StoreView.h
+++ b/src/entry/StoreView.h
@@ -7,6 +7,9 @@
 #include "entry/State.h"
 #include "keyvalue/KeyValue.h"
 
+#include <optional>
+#include <random>
+
 namespace borageridge::entry {
 
 /// Keeps the daemon's copy of the store's content up to date: configuration,
@@ -31,8 +34,13 @@
   runtime::Task<Expected<keyvalue::WatchPosition>>
   load(std::string_view Prefix);
   void noteFleetEra(keyvalue::Era Era, Time Now);
-  Duration shortWatchTimeout(std::string_view Prefix) const;
+  Duration watchTimeout(std::string_view Prefix);
+  /// Asks the store whether the configuration has changed whenever it would
+  /// otherwise become too old to serve keys.
+  runtime::Task<void> keepConfigRecent();
   void confirmConfig(Time AskedAt);
+  /// A random number from 0 to 1.
+  double jitter();
   Duration pauseAfterWatch(std::string_view Prefix, Time Now) const;
   bool holdsConnections() const;
   void updateLoaded(Time Now);
@@ -54,6 +62,9 @@
   cluster::Epoch ConfigEpoch = 0;
   /// Whether the last configuration that was read is the applied one.
   bool NewestConfigApplied = false;
+  /// Position up to which the configuration has been read.
+  std::optional<keyvalue::WatchPosition> ConfigFrom;
+  std::minstd_rand Random;
   /// Era in which the daemons were last read, if they were.
   std::optional<keyvalue::Era> FleetEra;
   /// Until then, daemons are kept although their entries are absent.
