Repeat a statement only where it can help

Cause: under a burst reads that only a primary could run were cut off after half of their objective and sent to the same primary again; the estimate of the latency knew only the answers that came in time. Change: the time-out of an attempt depends on whether another member could run the statement now; attempts that were cut off count in the estimate, which is kept for each member; repetitions after lost answers draw on a retry budget of the pool.

--- a/src/entry/Attempts.cpp
+++ b/src/entry/Attempts.cpp
@@ -18,14 +18,21 @@
 // objective, however slow the members are.
 constexpr int MinWaitDivisor = 3;
 constexpr Duration MinAttemptTimeout = std::chrono::milliseconds(60);
+// Without another member, an attempt that is cut off is repeated where it may
+// still be running. That only helps if the answer was lost, which is likely
+// once it takes this many times the usual latency.
+constexpr int LostAnswerFactor = 3;
 
 } // namespace
 
-Duration attemptTimeout(const catalog::Route &Route, bool Repeatable,
+Duration attemptTimeout(const catalog::Route &Route, Repetition Allowed,
                         Duration UsualLatency, Time Deadline, Time Now) {
   const Duration Left = Deadline - Now;
-  if (!Repeatable)
+  if (Allowed == Repetition::None)
     return Left;
+  if (Allowed == Repetition::SameMember)
+    return std::min(Left, std::max<Duration>(Route.TargetLatency,
+                                             LostAnswerFactor * UsualLatency));
   return std::min(Left, std::max({Route.TargetLatency / AttemptTimeoutDivisor,
                                   MinAttemptTimeout, UsualLatency}));
 }
--- a/src/entry/Attempts.h
+++ b/src/entry/Attempts.h
@@ -19,9 +19,18 @@
 /// Pause before the statement is sent again to a member that rejected it.
 constexpr Duration RetryPause = std::chrono::milliseconds(15);
 
-/// Time that one attempt waits for its answer. Repeatable: the statement may be
-/// sent again if the answer is lost.
-Duration attemptTimeout(const catalog::Route &Route, bool Repeatable,
+/// Whether and where a statement may be sent again if its answer is lost.
+enum class Repetition {
+  /// It may have taken effect.
+  None,
+  /// Only to the same member, which may still be running it.
+  SameMember,
+  OtherMember,
+};
+
+/// Time that one attempt waits for its answer. UsualLatency: within which
+/// nearly all answers of the member arrive.
+Duration attemptTimeout(const catalog::Route &Route, Repetition Allowed,
                         Duration UsualLatency, Time Deadline, Time Now);
 
 /// The latest time at which a statement may be dispatched to a member and still
--- a/src/entry/AttemptsTest.cpp
+++ b/src/entry/AttemptsTest.cpp
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(readTimeoutFollowsTheUsualLatency);
   CPPUNIT_TEST(attemptEndsAtTheDeadline);
   CPPUNIT_TEST(dispatchLeavesTimeForTheUsualLatency);
+  CPPUNIT_TEST(readIsNotSentTwiceToTheOnlyMemberThatMayRunIt);
   CPPUNIT_TEST(dispatchMayWaitEvenIfMembersAreSlow);
   CPPUNIT_TEST(refusalKeepsTheErrorOfTheMember);
   CPPUNIT_TEST(lostReadIsRefusedAsAborted);
@@ -37,25 +38,38 @@
 
   void writeWaitsForItsAnswerUntilTheDeadline() {
     assertEqual(milliseconds(700),
-                attemptTimeout(Route, false, milliseconds(20),
+                attemptTimeout(Route, Repetition::None, milliseconds(20),
                                Now + milliseconds(700), Now));
   }
 
   void readTimesOutEarlyEnoughForARetry() {
     assertEqual(milliseconds(120),
-                attemptTimeout(Route, true, milliseconds(20),
+                attemptTimeout(Route, Repetition::OtherMember, milliseconds(20),
                                Now + milliseconds(700), Now));
   }
 
   void readTimeoutFollowsTheUsualLatency() {
     assertEqual(milliseconds(300),
-                attemptTimeout(Route, true, milliseconds(300),
+                attemptTimeout(Route, Repetition::OtherMember,
+                               milliseconds(300), Now + milliseconds(700),
+                               Now));
+  }
+
+  // A burst beside a slow member: reads that only the primary could run were
+  // cut off after half of their objective and sent to it again.
+  void readIsNotSentTwiceToTheOnlyMemberThatMayRunIt() {
+    assertEqual(milliseconds(450),
+                attemptTimeout(Route, Repetition::SameMember, milliseconds(150),
+                               Now + milliseconds(700), Now));
+    assertEqual(milliseconds(240),
+                attemptTimeout(Route, Repetition::SameMember, milliseconds(20),
                                Now + milliseconds(700), Now));
   }
 
   void attemptEndsAtTheDeadline() {
-    assertEqual(milliseconds(50), attemptTimeout(Route, true, milliseconds(300),
-                                                 Now + milliseconds(50), Now));
+    assertEqual(milliseconds(50),
+                attemptTimeout(Route, Repetition::OtherMember,
+                               milliseconds(300), Now + milliseconds(50), Now));
   }
 
   void dispatchLeavesTimeForTheUsualLatency() {
--- a/src/entry/Executor.cpp
+++ b/src/entry/Executor.cpp
@@ -265,6 +265,27 @@
   co_return Result;
 }
 
+Duration Executor::timeoutFor(const catalog::Route &Route, bool Repeatable,
+                              const PlacementRequest &D,
+                              const Checkout &Connection, ServicePool &Pool,
+                              Time Deadline, Time Now) {
+  const std::string &Member = Connection.Link->member();
+  Repetition Allowed = Repetition::None;
+  if (Repeatable)
+    Allowed = Pool.hasAlternative(D, Member, Now) ? Repetition::OtherMember
+                                                  : Repetition::SameMember;
+  return attemptTimeout(Route, Allowed, Pool.latencyBound(Member), Deadline,
+                        Now);
+}
+
+bool Executor::mayRepeat(const Attempt &Result, ServicePool &Pool,
+                         unsigned Count, Time Deadline, Time Now) {
+  if (Count >= MaxAttempts || Now >= Deadline)
+    return false;
+  const bool WasLost = !Result && Result.error() == CallFailure::MayHaveRun;
+  return !WasLost || Pool.mayRepeat(Now);
+}
+
 bool Executor::needsConfirmation(const Checkout &Connection,
                                  const ServicePool &Pool, const Attempt &Result,
                                  bool Wrote) {
@@ -302,6 +323,7 @@
     co_return refuse(St, S.Database, ErrorCode::Busy,
                      "organisation is beyond its limit", "", None, Arrival);
   PlacementRequest D = demandFor(S, Route, Writes, Arrival);
+  Pool->noteStatement(bootTime());
   for (unsigned Count = 1;; ++Count) {
     const auto CannotConfirm = [&] {
       return Writes && Pool->mayUsePrimary(bootTime()) &&
@@ -325,8 +347,8 @@
       co_return refuse(St, S.Database, ErrorCode::Busy,
                        "primary cannot be confirmed", "", None, Arrival);
     }
-    const Duration Limit = attemptTimeout(Route, !Writes, Pool->latencyBound(),
-                                          Deadline, bootTime());
+    const Duration Limit =
+        timeoutFor(Route, !Writes, D, Connection, *Pool, Deadline, bootTime());
     const Time SentAt = bootTime();
     Attempt Result = co_await runOnConnection(Connection, S, *Pool, St, Limit,
                                               Connection.RequiredPosition);
@@ -359,12 +381,11 @@
                        describeFailure(Result), Connection.Link->member(), None,
                        Arrival);
     recordRetry(St, Connection.Link->member(), Result, Count);
-    if (Count >= MaxAttempts || bootTime() >= Deadline)
+    if (!mayRepeat(Result, *Pool, Count, Deadline, bootTime()))
       co_return refuse(St, S.Database, refusalCode(Result),
                        describeFailure(Result), Connection.Link->member(), None,
                        Arrival);
-    if (!Connection.OnPrimary)
-      excludeMember(D, Connection.Link->member(), Pool->members().size());
+    excludeMember(D, Connection.Link->member(), Pool->members().size());
     if (Connection.OnPrimary || D.Excluded.empty())
       co_await runtime::sleepFor(RetryPause);
   }
--- a/src/entry/Executor.h
+++ b/src/entry/Executor.h
@@ -113,6 +113,14 @@
   runtime::Task<bool> isWithinLimit(const Session &S,
                                     const catalog::Route &Route, Time Arrival,
                                     Time Deadline);
+  /// Time that one attempt waits for its answer.
+  static Duration timeoutFor(const catalog::Route &Route, bool Repeatable,
+                             const pool::PlacementRequest &D,
+                             const pool::Checkout &Connection,
+                             pool::ServicePool &Pool, Time Deadline, Time Now);
+  /// Whether the statement may be sent again after this result.
+  static bool mayRepeat(const Attempt &Result, pool::ServicePool &Pool,
+                        unsigned Count, Time Deadline, Time Now);
   /// Whether a successful write needs a confirmation that the primary led.
   static bool needsConfirmation(const pool::Checkout &Connection,
                                 const pool::ServicePool &Pool,
--- a/src/entry/TransactionExecution.cpp
+++ b/src/entry/TransactionExecution.cpp
@@ -148,7 +148,9 @@
   Attempt Result = CallFailure::NotSent;
   std::string_view Reason = "service has no members";
   std::string Member;
-  for (unsigned Count = 1; Pool != nullptr && Count <= MaxAttempts; ++Count) {
+  if (Pool != nullptr)
+    Pool->noteStatement(bootTime());
+  for (unsigned Count = 1; Pool != nullptr; ++Count) {
     Expected<Checkout, pool::AcquireFailure> Acquired = co_await Pool->acquire(
         D, S.Database, Route.Priority,
         latestDispatch(Route, Pool->latencyBound(), Arrival), Deadline);
@@ -160,8 +162,8 @@
     S.Tx.Connection = std::move(Acquired).value();
     const Checkout Connection = *S.Tx.Connection;
     Member = Connection.Link->member();
-    const Duration Limit = attemptTimeout(Route, !Commits, Pool->latencyBound(),
-                                          Deadline, bootTime());
+    const Duration Limit =
+        timeoutFor(Route, !Commits, D, Connection, *Pool, Deadline, bootTime());
     Result = co_await beginAndRun(S, *Pool, St, Limit);
     const bool MayAcknowledge =
         !Connection.OnPrimary ||
@@ -191,10 +193,9 @@
     if (Step == NextAction::Answer)
       break;
     recordRetry(St, Member, Result, Count);
-    if (bootTime() >= Deadline)
+    if (!mayRepeat(Result, *Pool, Count, Deadline, bootTime()))
       break;
-    if (!Connection.OnPrimary)
-      excludeMember(D, Member, Pool->members().size());
+    excludeMember(D, Member, Pool->members().size());
     if (Connection.OnPrimary || D.Excluded.empty())
       co_await runtime::sleepFor(RetryPause);
   }
--- a/src/pool/Placement.cpp
+++ b/src/pool/Placement.cpp
@@ -11,6 +11,8 @@
 // Round trip to another availability zone, relative to the execution time of
 // one statement.
 constexpr double OtherZonePenalty = 0.05;
+// A primary is asked again only if no replica can run the statement.
+constexpr double FailedBeforePenalty = 4.0;
 // Cost of opening a connection, which takes about as long as a statement.
 constexpr double OpeningPenalty = 0.7;
 // More than one, to keep the slots busy while replies and the next statements
@@ -24,6 +26,7 @@
   const double Work = M.OwnInFlight + M.OthersInFlight;
   return Work / M.Slots + (M.Primary ? PrimaryPenalty : 0.0) +
          (M.SameZone ? 0.0 : OtherZonePenalty) +
+         (M.Excluded ? FailedBeforePenalty : 0.0) +
          (M.HasIdleConnection ? 0.0 : OpeningPenalty);
 }
 
--- a/src/pool/ServicePool.cpp
+++ b/src/pool/ServicePool.cpp
@@ -21,6 +21,10 @@
 constexpr std::size_t MaxWaitingBytes = std::size_t(32) << 20;
 // Between two rounds of questions, for example while a member is busy.
 constexpr Duration LeadCheckRepeatDelay = std::chrono::milliseconds(20);
+// More than the share of answers that members lose at their worst.
+constexpr admission::RetryLimits RepetitionLimits{0.2, 5.0, 50.0};
+// A new pool may repeat statements at once.
+constexpr Duration InitialRepetitions = std::chrono::seconds(10);
 constexpr std::uint32_t PrimaryLane = 0;
 constexpr std::uint32_t ReplicaLane = 1;
 
@@ -53,6 +57,7 @@
           [this](std::string_view Error) {
             Shared.Log.write(entry::event::TaskFailed, "lead check", Error);
           }),
+      Repetitions(RepetitionLimits, bootTime() - InitialRepetitions),
       Queue({MaxWaiting, MaxWaitingBytes}) {
   Spec.Name = Service;
 }
@@ -220,18 +225,51 @@
   return L;
 }
 
+std::vector<MemberLoad> ServicePool::loads(const PlacementRequest &D,
+                                           Time Now) {
+  std::vector<MemberLoad> Result;
+  Result.reserve(Members.size());
+  for (auto &[Id, M] : Members)
+    Result.push_back(loadOf(M, D, Now));
+  return Result;
+}
+
+std::optional<Position>
+ServicePool::requiredPosition(const PlacementRequest &D) const {
+  return replicaPosition(D, Positions.covering(D.Arrival - D.MaxStaleness),
+                         LogEpoch);
+}
+
+Duration ServicePool::latencyBound(std::string_view Member) const {
+  const MemberState *M = find(Member);
+  return M == nullptr ? Latency.upperBound() : M->Latency.upperBound();
+}
+
+// A primary without a free slot is no alternative: it must stay free for
+// writes.
+bool ServicePool::hasAlternative(PlacementRequest D, const std::string &Member,
+                                 Time Now) {
+  std::vector<MemberLoad> Others = loads(D, Now);
+  std::size_t Index = 0;
+  for (const auto &[Id, M] : Members) {
+    MemberLoad &L = Others[Index++];
+    if (Id == Member ||
+        (L.Primary && L.OwnInFlight + L.OthersInFlight >= L.Slots))
+      L.Usable = false;
+  }
+  return chooseMember(Others, D, requiredPosition(D), Now).has_value();
+}
+
 // If the best member has no idle connection, opens one for later use and places
 // the statement on the best member that has an idle connection.
 std::optional<Checkout> ServicePool::tryPlace(const PlacementRequest &D,
                                               Time Now) {
-  const std::optional<Position> Required = replicaPosition(
-      D, Positions.covering(D.Arrival - D.MaxStaleness), LogEpoch);
-  std::vector<MemberLoad> Loads;
+  const std::optional<Position> Required = requiredPosition(D);
+  std::vector<MemberLoad> Loads = loads(D, Now);
   std::vector<MemberState *> States;
-  for (auto &[Id, M] : Members) {
-    Loads.push_back(loadOf(M, D, Now));
+  States.reserve(Members.size());
+  for (auto &[Id, M] : Members)
     States.push_back(&M);
-  }
   std::optional<Placement> Chosen = chooseMember(Loads, D, Required, Now);
   if (Chosen && Chosen->NeedsConnection) {
     MemberState &Wanted = *States[Chosen->Member];
@@ -374,9 +412,16 @@
   Expected<Reply, CallFailure> Answer =
       co_await Over.Link->call(std::move(Bytes), Limit);
   const Time Now = bootTime();
-  if (Answer && Answer.value().At)
+  MemberState *M = find(Member);
+  // An attempt that was cut off shows that answers take at least as long.
+  // Without it the estimates would know only the fast ones.
+  const bool WasCutOff = !Answer && Now - SentAt >= Limit;
+  if ((Answer && Answer.value().At) || WasCutOff) {
     Latency.add(Now - SentAt);
-  if (MemberState *M = find(Member); M != nullptr && Answer)
+    if (M != nullptr)
+      M->Latency.add(Now - SentAt);
+  }
+  if (M != nullptr && Answer)
     recordReply(*M, Answer.value(), SentAt, Over.Epoch, Now);
   co_return Answer;
 }
--- a/src/pool/ServicePool.h
+++ b/src/pool/ServicePool.h
@@ -2,6 +2,7 @@
 #define BORAGERIDGE_POOL_SERVICEPOOL_H
 
 #include "admission/AdmissionQueue.h"
+#include "admission/RetryBudget.h"
 #include "borageridge/Failure.h"
 #include "borageridge/Types.h"
 #include "catalog/Catalog.h"
@@ -144,8 +145,17 @@
   runtime::Task<Expected<statement::Reply, CallFailure>>
   call(const Checkout &Over, std::string Bytes, Duration Limit);
 
-  /// Time within which nearly all replies arrive; later ones count as lost.
+  /// Time within which nearly all replies of all members arrive.
   Duration latencyBound() const { return Latency.upperBound(); }
+  /// Time within which nearly all replies of one member arrive.
+  Duration latencyBound(std::string_view Member) const;
+  /// Whether another member could run the statement now.
+  bool hasAlternative(PlacementRequest D, const std::string &Member, Time Now);
+  /// Counts a statement, and whether one whose answer was lost may be sent
+  /// again. Such repetitions are limited to a share of the statements, since
+  /// the members may still be running the first attempts.
+  void noteStatement(Time Now) { Repetitions.addRequest(Now); }
+  bool mayRepeat(Time Now) { return Repetitions.tryRetry(Now); }
 
   /// Ends the use of the primary before a primary change: waits up to Limit for
   /// the statements in flight, then aborts them. Afterwards nothing of the
@@ -203,6 +213,7 @@
     bool Probing = false;
     bool ReportedSuspected = false;
     MemberHealth Health;
+    LatencyEstimate Latency;
     ConnectionBudget Budget;
 
     std::uint32_t inFlight() const {
@@ -226,6 +237,9 @@
                   Time Now) const;
   std::size_t waitingFor(std::string_view Organisation) const;
   MemberLoad loadOf(MemberState &M, const PlacementRequest &D, Time Now) const;
+  /// The load of each member, in the order of Members.
+  std::vector<MemberLoad> loads(const PlacementRequest &D, Time Now);
+  std::optional<Position> requiredPosition(const PlacementRequest &D) const;
   std::optional<Checkout> tryPlace(const PlacementRequest &D, Time Now);
   bool hasUsableMember(const PlacementRequest &D, Time Now) const;
   std::optional<Checkout> checkOut(MemberState &M, const Placement &Chosen,
@@ -283,6 +297,7 @@
   std::map<std::string, MemberState, std::less<>> Members;
   freshness::PrimaryPositions Positions;
   LatencyEstimate Latency;
+  admission::RetryBudget Repetitions;
   std::map<std::string, LatencyEstimate, std::less<>> ServiceTimeByDatabase;
   admission::AdmissionQueue Queue;
   std::map<admission::TicketId, Waiter *> Waiters;
