Take a counter only as it was found vacant

Change: the claim needs the entry as it was when the counter was found vacant. Conclusion: two daemons no longer grant for one counter.

--- a/src/entry/Quotas.cpp
+++ b/src/entry/Quotas.cpp
@@ -91,7 +91,8 @@
     if (!mayAcquire(Counter, Now))
       return;
     Busy.insert(Counter);
-    runtime::spawn(S.Io, acquire(Counter));
+    runtime::spawn(S.Io,
+                   acquire(Counter, S.Counters.entry(Counter).ModRevision));
   } else if (Now - Found->second.RenewedAt >= LeaseRenewalInterval) {
     Busy.insert(Counter);
     runtime::spawn(S.Io, renew(Counter));
@@ -118,7 +119,9 @@
   return Now - Since >= RankDelay * static_cast<int>(Rank);
 }
 
-Task<void> Quotas::acquire(CounterNumber Counter) {
+// The condition is what was seen when the counter was found vacant: another
+// daemon may take it while the lease is granted.
+Task<void> Quotas::acquire(CounterNumber Counter, keyvalue::Revision Entry) {
   const Time SentAt = bootTime();
   const Expected<keyvalue::LeaseGrant> Grant = co_await S.Store.grant(LeaseTtl);
   if (!Grant) {
@@ -128,7 +131,7 @@
   const std::string Key = quota::counterKey(Counter);
   keyvalue::Transaction Claim;
   Claim.StoreEra = Grant.value().StoreEra;
-  Claim.Conditions.push_back({Key, S.Counters.entry(Counter).ModRevision});
+  Claim.Conditions.push_back({Key, Entry});
   Claim.Puts.push_back({Key, S.Settings.InstanceName, Grant.value().Id});
   const Expected<keyvalue::Revision> Written =
       co_await S.Store.commit(std::move(Claim));
@@ -144,10 +147,10 @@
                     std::chrono::milliseconds(Grant.value().TtlMs),
                     Grant.value().StoreEra);
   Held.insert_or_assign(Counter, std::move(New));
-  keyvalue::Change Entry;
-  Entry.Written = {Key, S.Settings.InstanceName, Written.value(),
-                   Written.value(), Grant.value().Id};
-  S.Counters.apply(Entry);
+  keyvalue::Change Own;
+  Own.Written = {Key, S.Settings.InstanceName, Written.value(), Written.value(),
+                 Grant.value().Id};
+  S.Counters.apply(Own);
   S.Log.write(event::CounterTaken, Counter, Written.value());
   Busy.erase(Counter);
 }
--- a/src/entry/Quotas.h
+++ b/src/entry/Quotas.h
@@ -60,7 +60,9 @@
   bool isHolder(quota::CounterNumber Counter, Time Now) const;
   bool mayAcquire(quota::CounterNumber Counter, Time Now);
   void examine(quota::CounterNumber Counter, Time Now);
-  runtime::Task<void> acquire(quota::CounterNumber Counter);
+  /// Entry: the revision of the entry to replace, 0 if there is none.
+  runtime::Task<void> acquire(quota::CounterNumber Counter,
+                              keyvalue::Revision Entry);
   runtime::Task<void> renew(quota::CounterNumber Counter);
   runtime::Task<void> endLease(keyvalue::LeaseId Id, keyvalue::Era GrantedIn);
   void lose(quota::CounterNumber Counter, std::string_view Cause);
--- a/src/entry/QuotasTest.cpp
+++ b/src/entry/QuotasTest.cpp
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(vacantCountersAreTakenAndGrantUpToTheLimit);
   CPPUNIT_TEST(operationsThatArriveTogetherShareOneRequest);
   CPPUNIT_TEST(counterOfAnotherDaemonIsNotTaken);
+  CPPUNIT_TEST(counterThatAnotherDaemonTakesMeanwhileIsLeftToIt);
   CPPUNIT_TEST(counterOfTheFormerProcessIsTakenBackAtOnce);
   CPPUNIT_TEST(counterWhoseLeaseEndedAtTheStoreGrantsNothing);
   CPPUNIT_TEST(counterWhoseEntryIsGoneGrantsNothing);
@@ -107,6 +108,32 @@
     CPPUNIT_ASSERT(Subject.answer({1, "mill", 1}).IsHolder);
   }
 
+  // Guards against replacing the entry of a daemon that has become the holder
+  // since the counter was found vacant.
+  void counterThatAnotherDaemonTakesMeanwhileIsLeftToIt() {
+    bool IsTaken = false;
+    Store.Intercept =
+        [&](const http::Request &Call) -> std::optional<http::Response> {
+      if (Call.Target.find("kv-lease") == std::string::npos ||
+          std::exchange(IsTaken, true))
+        return std::nullopt;
+      keyvalue::Transaction Claim;
+      for (const char *Key : {"0", "1", "2"})
+        Claim.Puts.push_back(
+            {"borageridge/counters/" + std::string(Key), "entry-2", 0});
+      const keyvalue::Revision Revision = Store.commit(Claim);
+      for (const keyvalue::Put &Put : Claim.Puts) {
+        keyvalue::Change Other;
+        Other.Written = {Put.Key, "entry-2", Revision, Revision, 0};
+        S.Counters.apply(Other);
+      }
+      return std::nullopt;
+    };
+    start();
+    CPPUNIT_ASSERT(IsTaken);
+    CPPUNIT_ASSERT_EQUAL(std::string("entry-2"), Store.value(FirstKey));
+  }
+
   void counterOfTheFormerProcessIsTakenBackAtOnce() {
     keyvalue::Transaction Former;
     Former.Puts.push_back({FirstKey, "entry-1", Store.grantToAnother()});
