Keep what callers occupy within the memory and descriptors of the process, and mend what two reviews found

From the reviews: a restored store no longer confirms a version that a peer knows to be replaced; sessions with revoked keys are closed whenever they become idle; a free slot no longer makes every waiting organisation open a connection, and connections whose organisation waits are not replaced; organisations of a database have equal work; one organisation takes a quarter of a queue at most; attempts that were cut off count for their member only; a member that failed a statement is no alternative; counters grant only for their own organisations and use part of the overage; silent counters are given up after 60 ms.

--- a/programs/borageridge-entry/Main.cpp
+++ b/programs/borageridge-entry/Main.cpp
@@ -7,6 +7,8 @@
 
 #include <CLI/CLI.hpp>
 
+#include <malloc.h>
+
 #include <csignal>
 #include <cstdio>
 #include <exception>
@@ -22,6 +24,8 @@
 constexpr int InternalError = 70;
 constexpr int BadSettings = 78;
 constexpr int CannotStart = 71;
+// Larger allocations are returned to the system when they are freed.
+constexpr int LargeAllocationBytes = 128 * 1024;
 
 struct Options {
   std::string SettingsPath = borageridge::platform::settingsPath();
@@ -52,6 +56,9 @@
     std::cout << Given.SettingsPath << ": valid\n";
     return 0;
   }
+  // Otherwise the C library raises the threshold when a large message has been
+  // freed, and keeps the memory of later ones.
+  mallopt(M_MMAP_THRESHOLD, LargeAllocationBytes);
   std::signal(SIGPIPE, SIG_IGN);
   borageridge::telemetry::Log Log(Settings.value().InstanceName,
                                   borageridge::settings::LogLevel::Info,
--- a/src/authority/ConfigAge.cpp
+++ b/src/authority/ConfigAge.cpp
@@ -13,9 +13,10 @@
 }
 
 // An older version says nothing: the store may have been restored from a copy,
-// or the peer that reports it is late.
+// or the peer that reports it is late. The same holds for the applied version
+// once a newer one is known.
 void ConfigAge::confirm(Time AskedAt, std::uint64_t Version) {
-  if (Version == Applied && Version != 0) {
+  if (Version == Applied && Version != 0 && Pending <= Applied) {
     ConfirmedAt = std::max(ConfirmedAt.value_or(AskedAt), AskedAt);
   } else if (Version > Applied && Version >= Pending) {
     PendingAt = Version == Pending ? std::max(PendingAt, AskedAt) : AskedAt;
--- a/src/authority/ConfigAgeTest.cpp
+++ b/src/authority/ConfigAgeTest.cpp
@@ -14,6 +14,7 @@
   CPPUNIT_TEST(lateAnswersToEarlierQuestionsDoNotMakeItOlder);
   CPPUNIT_TEST(newerVersionElsewhereConfirmsOnlyOnceItIsApplied);
   CPPUNIT_TEST(olderVersionOfARestoredStoreConfirmsNothing);
+  CPPUNIT_TEST(restoredStoreDoesNotConfirmWhatAPeerKnowsToBeReplaced);
   CPPUNIT_TEST_SUITE_END();
 
   static void assertAge(int ExpectedMs, const ConfigAge &Seen, int NowMs) {
@@ -58,6 +59,17 @@
     assertAge(100, Seen, 1000);
   }
 
+  // Guards against a daemon that applies the copy of a restored store and
+  // serves keys which the lost version had revoked.
+  void restoredStoreDoesNotConfirmWhatAPeerKnowsToBeReplaced() {
+    ConfigAge Seen;
+    Seen.apply(3);
+    Seen.confirm(at(100), 3);
+    Seen.confirm(at(200), 4);
+    Seen.confirm(at(900), 3);
+    assertAge(900, Seen, 1000);
+  }
+
   void olderVersionOfARestoredStoreConfirmsNothing() {
     ConfigAge Seen;
     Seen.apply(3);
--- a/src/cluster/HolderTableTest.cpp
+++ b/src/cluster/HolderTableTest.cpp
@@ -143,11 +143,11 @@
       Daemon.ProcessorShare = I < 2 ? 500 : 84;
       Table.add(Daemon);
     }
-    int Small = 0;
+    int HeldBySmall = 0;
     for (int I = 0; I < 200; ++I)
       if (Table.holders("db" + std::to_string(I)).at(0).starts_with("small-"))
-        ++Small;
-    CPPUNIT_ASSERT(Small <= 10);
+        ++HeldBySmall;
+    CPPUNIT_ASSERT(HeldBySmall <= 10);
   }
 
   void aChangedShareMovesOnlyServicesOfThatDaemon() {
--- a/src/entry/Attempts.cpp
+++ b/src/entry/Attempts.cpp
@@ -79,7 +79,9 @@
 
 void excludeMember(PlacementRequest &D, const std::string &Member,
                    std::size_t Members) {
-  D.Excluded.push_back(Member);
+  if (std::find(D.Excluded.begin(), D.Excluded.end(), Member) ==
+      D.Excluded.end())
+    D.Excluded.push_back(Member);
   if (D.Excluded.size() >= Members)
     D.Excluded.clear();
 }
--- a/src/entry/CallerConnection.cpp
+++ b/src/entry/CallerConnection.cpp
@@ -1,6 +1,7 @@
 #include "entry/CallerConnection.h"
 
 #include "authority/Fingerprint.h"
+#include "entry/CallerLimits.h"
 #include "runtime/Clock.h"
 
 #include <variant>
@@ -24,6 +25,12 @@
 constexpr Duration ConfigTimeout = std::chrono::milliseconds(1500);
 // Added to the route's timeout, within which the holder answers.
 constexpr Duration HolderTimeoutMargin = std::chrono::milliseconds(300);
+// A statement exists as text, as its decoded parts and as bytes to send.
+constexpr std::size_t CopiesInWork = 4;
+// A session's values also exist on the member connections that it has used.
+constexpr std::size_t CopiesOfValues = 2;
+// A larger receive buffer is freed once it is empty.
+constexpr std::size_t MaxKeptBufferBytes = std::size_t(16) << 10;
 constexpr Duration ConfigPollInterval = std::chrono::milliseconds(20);
 
 } // namespace
@@ -95,6 +102,25 @@
     close();
 }
 
+std::size_t CallerConnection::heldBytes() const {
+  return Buffer.capacity() + CopiesOfValues * SessionBytes +
+         CopiesInWork * InWorkBytes;
+}
+
+void CallerConnection::updateOccupied() {
+  if (Occupied != nullptr)
+    Occupied->update(*this, heldBytes(), bootTime());
+}
+
+// While a statement is processed, the session's values may be in use; they are
+// freed with the connection.
+void CallerConnection::closeForMemory() {
+  close();
+  Buffer = std::string();
+  if (AwaitingInput)
+    CallerSession.State = {};
+}
+
 void CallerConnection::close() {
   error_code Ignored;
   Socket.close(Ignored);
@@ -108,6 +134,8 @@
     if (End != std::string::npos) {
       Result.assign(Buffer, 0, End);
       Buffer.erase(0, End + 2);
+      if (Buffer.empty() && Buffer.capacity() > MaxKeptBufferBytes)
+        Buffer = std::string();
       co_return ReadResult::Read;
     }
     if (Buffer.size() >= platform::MaxMessageBytes)
@@ -129,6 +157,9 @@
     Buffer.resize(Old + Read);
     if (Error && Error != runtime::asio::error::would_block)
       co_return ReadResult::Closed;
+    updateOccupied();
+    if (!Socket.is_open())
+      co_return ReadResult::Closed;
   }
 }
 
@@ -240,13 +271,21 @@
     co_return false;
   }
   const statement::StatementKind Kind = Statement->Kind;
+  InWorkBytes = Text.size();
+  updateOccupied();
   statement::Reply Answer;
   if (Holder)
     Answer = co_await forward(*Statement, Text, Arrival);
   else
     Answer = co_await S.StatementExecutor.execute(
         CallerSession, std::move(*Statement), Arrival);
-  const bool Written = co_await write(platform::encodeReply(Answer));
+  std::string Reply = platform::encodeReply(Answer);
+  SessionBytes = statement::sizeOf(CallerSession.State);
+  InWorkBytes = Reply.size();
+  updateOccupied();
+  const bool Written = co_await write(std::move(Reply));
+  InWorkBytes = 0;
+  updateOccupied();
   const bool HolderLost = Holder && !Holder->isOpen();
   co_return Written && !HolderLost &&
       Answer.Error != ErrorCode::UnknownDatabase &&
@@ -319,6 +358,8 @@
     }
     Open = co_await serveMessage();
   }
+  if (Occupied != nullptr)
+    Occupied->remove(*this);
   S.StatementExecutor.discardTransaction(CallerSession);
   if (Holder)
     Holder->close();
--- a/src/entry/CallerConnection.h
+++ b/src/entry/CallerConnection.h
@@ -11,14 +11,18 @@
 
 namespace borageridge::entry {
 
+class CallerLimits;
+
 /// Serves one connection of a caller: reads statements and writes their
 /// answers.
 class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
 public:
-  /// Forwarder: null for sessions that another daemon has forwarded.
+  /// Forwarder: null for sessions that another daemon has forwarded. Limits:
+  /// null if what the caller occupies is not limited.
   CallerConnection(State &Shared, runtime::tcp::socket Accepted,
-                   Forwarding *Sessions)
-      : S(Shared), Socket(std::move(Accepted)), Forwarder(Sessions) {}
+                   Forwarding *Sessions, CallerLimits *Limits = nullptr)
+      : S(Shared), Socket(std::move(Accepted)), Forwarder(Sessions),
+        Occupied(Limits) {}
 
   /// Serves the caller until either side closes the connection.
   runtime::Task<void> run();
@@ -47,6 +51,11 @@
   Duration waited(Time Now) const;
   /// Closes the connection. A statement being processed is not answered.
   void close();
+  /// Closes the connection and frees what it has received.
+  void closeForMemory();
+  /// Bytes that are received and not processed yet, that the session keeps, and
+  /// of the statement in work with its copies.
+  std::size_t heldBytes() const;
 
 private:
   enum class ReadResult { Read, Closed, TooLong };
@@ -60,6 +69,8 @@
   std::optional<std::string> authenticate(const platform::StartMessage &Start);
   void closeIfIdle();
   bool isBetweenRequests() const;
+  /// Reports heldBytes() to the limits.
+  void updateOccupied();
   bool endsAfter(statement::StatementKind Answered) const;
 
   runtime::Task<statement::Reply> forward(const statement::Statement &St,
@@ -68,6 +79,11 @@
   State &S;
   runtime::tcp::socket Socket;
   Forwarding *Forwarder;
+  CallerLimits *Occupied;
+  /// Of the values and prepared statements of the session.
+  std::size_t SessionBytes = 0;
+  /// Of the statement that is being processed.
+  std::size_t InWorkBytes = 0;
   /// The forwarded session at a connection holder; null if the session runs in
   /// this daemon.
   pool::Connection Holder;
--- a/src/entry/Daemon.cpp
+++ b/src/entry/Daemon.cpp
@@ -45,7 +45,7 @@
     : Io(Context), Log(Output), S(Context, std::move(Settings), Store, Output),
       View(S), Registrar(S, View), PeerExchange(S),
       ChangeCoordinator(S, PeerExchange, Promotion), SessionForwarding(S),
-      OrganisationQuotas(S) {
+      OrganisationQuotas(S), Limits(S) {
   S.Incarnation = Incarnation;
   if (S.Settings.StrictRevocation)
     S.StatementExecutor.recency().setLimit(S.Settings.RevocationLimit);
@@ -87,8 +87,10 @@
                                         Forwarding *Forwarder) {
   auto Open = runtime::Listener::open(
       Io, Address, [this, Forwarder](tcp::socket Socket) {
-        const auto Caller =
-            std::make_shared<CallerConnection>(S, std::move(Socket), Forwarder);
+        if (!Limits.mayAccept(Callers->size(), bootTime()))
+          return;
+        const auto Caller = std::make_shared<CallerConnection>(
+            S, std::move(Socket), Forwarder, &Limits);
         Callers->insert(Caller);
         runtime::spawn(Io, serveCaller(Caller));
       });
@@ -180,7 +182,6 @@
     for (const auto &[Name, Pool] : S.ByService)
       Pool->tick(Now);
     closeSessionsOfUnreachablePeers();
-    closeRevokedSessions();
     if (!WasReady && isReady(Now)) {
       WasReady = true;
       Log.write(event::Ready, S.StatementExecutor.catalog().Version,
@@ -190,14 +191,17 @@
   }
 }
 
-// Closes idle sessions that began while the connection holders of their service
-// were unknown, so that callers connect again and are forwarded to a holder.
+// Closes idle sessions whose keys have been revoked, and those that began while
+// the connection holders of their service were unknown, so that callers connect
+// again and are forwarded to a holder.
 Task<void> Daemon::rebalance() {
   for (;;) {
     co_await runtime::sleepFor(RebalanceInterval);
     const auto Open = S.Stopping ? CallerSet() : *Callers;
-    for (const auto &Caller : Open)
+    for (const auto &Caller : Open) {
       Caller->closeIfHeldElsewhere();
+      Caller->closeIfRevoked();
+    }
   }
 }
 
@@ -208,15 +212,6 @@
       Caller->closeIfHeldBy(Name);
 }
 
-void Daemon::closeRevokedSessions() {
-  const std::uint64_t Version = S.StatementExecutor.catalog().Version;
-  if (std::exchange(RevocationsApplied, Version) == Version)
-    return;
-  const CallerSet Open = *Callers;
-  for (const auto &Caller : Open)
-    Caller->closeIfRevoked();
-}
-
 Task<void> Daemon::handleSignals() {
   runtime::asio::signal_set Signals(Io, SIGTERM, SIGINT, SIGHUP);
   for (;;) {
--- a/src/entry/Daemon.h
+++ b/src/entry/Daemon.h
@@ -3,6 +3,7 @@
 
 #include "borageridge/Failure.h"
 #include "entry/CallerConnection.h"
+#include "entry/CallerLimits.h"
 #include "entry/Coordinator.h"
 #include "entry/Exchange.h"
 #include "entry/LogRateLimiter.h"
@@ -49,8 +50,6 @@
   void closeCallerListeners();
   void closeCallers(const StopPlan &Plan, Time Now);
   void closeSessionsOfUnreachablePeers();
-  /// Closes idle sessions whose keys the newest configuration has revoked.
-  void closeRevokedSessions();
   runtime::Task<void> rebalance();
   bool isReady(Time Now) const;
   http::Response answerReadiness(const http::Request &Call);
@@ -65,13 +64,12 @@
   Coordinator ChangeCoordinator;
   Forwarding SessionForwarding;
   Quotas OrganisationQuotas;
+  CallerLimits Limits;
   std::shared_ptr<CallerSet> Callers = std::make_shared<CallerSet>();
   /// Listeners for callers and for forwarded sessions; empty once closed.
   std::vector<std::shared_ptr<runtime::Listener>> CallerListeners;
   LogRateLimiter RejectionLog;
   bool WasReady = false;
-  /// Version whose revocations have been applied to the sessions.
-  std::uint64_t RevocationsApplied = 0;
   /// Whether a stop has ended the role of coordinator, if the daemon had it.
   bool Resigned = false;
 };
--- a/src/entry/EntryMetrics.cpp
+++ b/src/entry/EntryMetrics.cpp
@@ -46,6 +46,11 @@
                          .Help("Operations by organisation and by whether its "
                                "limit allowed them")
                          .Register(Registry)),
+      ClosedCallers(
+          prometheus::BuildCounter()
+              .Name("borageridge_closed_callers_total")
+              .Help("Connections of callers closed to stay within a limit")
+              .Register(Registry)),
       Retries(prometheus::BuildCounter()
                   .Name("borageridge_retries_total")
                   .Help("Further attempts to run a statement")
@@ -100,6 +105,10 @@
       .Increment();
 }
 
+void EntryMetrics::addClosedCaller(std::string_view Limit) {
+  ClosedCallers.Add({{"limit", std::string(Limit)}}).Increment();
+}
+
 void EntryMetrics::addRetry() { Retries.Increment(); }
 
 void EntryMetrics::addRead(bool OnPrimary) {
--- a/src/entry/EntryMetrics.h
+++ b/src/entry/EntryMetrics.h
@@ -29,6 +29,8 @@
                     std::optional<statement::ErrorCode> Error);
   /// Counts an operation that the limit of its organisation allowed or not.
   void addQuotaDecision(std::string_view Organisation, bool Granted);
+  /// Counts a connection of a caller that was closed to stay within a limit.
+  void addClosedCaller(std::string_view Limit);
   void addRetry();
   void addRead(bool OnPrimary);
   void addChange(std::string_view Cause);
@@ -50,6 +52,7 @@
   prometheus::Family<prometheus::Counter> &Changes;
   prometheus::Family<prometheus::Counter> &RefusedCallers;
   prometheus::Family<prometheus::Counter> &QuotaDecisions;
+  prometheus::Family<prometheus::Counter> &ClosedCallers;
   prometheus::Counter &Retries;
   prometheus::Counter &RejectedPeerMessages;
   prometheus::Counter &ReplicaReads;
--- a/src/entry/Events.cpp
+++ b/src/entry/Events.cpp
@@ -13,7 +13,7 @@
       PeerMessageRejected, TaskFailed, DutyTaken, DutyLost, ChangeStarted,
       ChangeStep, PromotionCalled, PromotionAnswered, ChangeCompleted,
       ChangeFailed, UseRelinquished, CounterTaken, CounterLost, RequestRefused,
-      CallerRefused, RequestRetried, LinesSuppressed);
+      CallerRefused, CallerClosed, RequestRetried, LinesSuppressed);
 }
 
 } // namespace borageridge::entry
--- a/src/entry/Events.h
+++ b/src/entry/Events.h
@@ -131,6 +131,10 @@
     LogLevel::Warning,
     {"database", "key_fingerprint", "reason", "config_version",
      "config_age_ms"}};
+inline constexpr EventType<Text, Number, Number> CallerClosed{
+    "caller_closed",
+    LogLevel::Warning,
+    {"limit", "held_bytes", "callers_bytes"}};
 inline constexpr EventType<Text, Text, Text, Number> RequestRetried{
     "request_retried",
     LogLevel::Info,
--- a/src/entry/Executor.cpp
+++ b/src/entry/Executor.cpp
@@ -64,7 +64,12 @@
 std::optional<Reply> Executor::refuseWithoutAuthority(Session &S,
                                                       const Statement &St,
                                                       Time Arrival) {
-  if (!Config.HasOrganisations || St.Kind == StatementKind::Rollback ||
+  if (!Config.HasOrganisations) {
+    if (S.Tx.CurrentPhase == Transaction::Phase::None)
+      S.Organisation.clear();
+    return std::nullopt;
+  }
+  if (St.Kind == StatementKind::Rollback ||
       S.Tx.CurrentPhase == Transaction::Phase::Failed)
     return std::nullopt;
   const Time Now = bootTime();
@@ -90,13 +95,10 @@
                 S.Tx.state(), Arrival);
 }
 
-Task<bool> Executor::isWithinLimit(const Session &S,
-                                   const catalog::Route &Route, Time Arrival,
-                                   Time Deadline) {
+Task<bool> Executor::isWithinLimit(const Session &S, Time Deadline) {
   if (S.Organisation.empty() || !Gate)
     co_return true;
-  co_return co_await Gate(S.Organisation,
-                          std::min(Deadline, Arrival + Route.TargetLatency));
+  co_return co_await Gate(S.Organisation, Deadline);
 }
 
 bool Executor::hasAuthority(const Session &S, const Checkout &Connection,
@@ -319,7 +321,7 @@
                      "", None, Arrival);
   const bool Writes = writes(S, St);
   const Time Deadline = deadlineOf(Route, Arrival);
-  if (!co_await isWithinLimit(S, Route, Arrival, Deadline))
+  if (!co_await isWithinLimit(S, Deadline))
     co_return refuse(St, S.Database, ErrorCode::Busy,
                      "organisation is beyond its limit", "", None, Arrival);
   PlacementRequest D = demandFor(S, Route, Writes, Arrival);
--- a/src/entry/Executor.h
+++ b/src/entry/Executor.h
@@ -110,9 +110,7 @@
   bool hasAuthority(const Session &S, const pool::Checkout &Connection,
                     Time Now) const;
   /// Whether the limit of the session's organisation allows an operation.
-  runtime::Task<bool> isWithinLimit(const Session &S,
-                                    const catalog::Route &Route, Time Arrival,
-                                    Time Deadline);
+  runtime::Task<bool> isWithinLimit(const Session &S, Time Deadline);
   /// Time that one attempt waits for its answer.
   static Duration timeoutFor(const catalog::Route &Route, bool Repeatable,
                              const pool::PlacementRequest &D,
--- a/src/entry/Quotas.cpp
+++ b/src/entry/Quotas.cpp
@@ -23,9 +23,9 @@
 // them, so that usually only one call to the store is needed.
 constexpr Duration RankDelay = std::chrono::milliseconds(60);
 constexpr std::size_t MaxDelayedRank = 40;
-// Several round trips between availability zones; the operation waits
-// meanwhile.
-constexpr Duration AnswerTimeout = std::chrono::milliseconds(150);
+// Many round trips between availability zones. The operation waits meanwhile,
+// and two counters may be silent before the third answers.
+constexpr Duration AnswerTimeout = std::chrono::milliseconds(60);
 constexpr Duration AvoidancePeriod = std::chrono::milliseconds(1000);
 
 } // namespace
@@ -197,7 +197,10 @@
 peer::QuotaReply Quotas::answer(const peer::QuotaRequest &Asked) {
   const Time Now = bootTime();
   const auto Limit = limitOf(Asked.Organisation);
-  if (!Limit || !isHolder(Asked.Counter, Now))
+  const auto Counters = quota::countersOf(Asked.Organisation, counterCount());
+  const bool IsAssigned = std::find(Counters.begin(), Counters.end(),
+                                    Asked.Counter) != Counters.end();
+  if (!Limit || !IsAssigned || !isHolder(Asked.Counter, Now))
     return {};
   return {true,
           Held.at(Asked.Counter)
@@ -256,6 +259,12 @@
 // for what the waiting operations still need.
 Task<void> Quotas::ask(std::string Organisation) {
   Account &Own = accountOf(Organisation);
+  // Also if an exception ends this coroutine.
+  const std::shared_ptr<void> Done(nullptr, [&Own](void *) {
+    Own.IsAsking = false;
+    for (const auto &Waiter : Own.Waiting)
+      Waiter->notify();
+  });
   const auto Counters = quota::countersOf(Organisation, counterCount());
   auto Needed = static_cast<std::uint32_t>(Own.Waiting.size());
   std::uint32_t Wanted = Own.Tokens.wanted(Needed, bootTime());
@@ -277,9 +286,6 @@
   }
   if (Needed > 0)
     Own.Tokens.deny(bootTime());
-  Own.IsAsking = false;
-  for (const auto &Waiter : Own.Waiting)
-    Waiter->notify();
 }
 
 Task<std::optional<std::uint32_t>> Quotas::request(CounterNumber Counter,
--- a/src/entry/StoreView.cpp
+++ b/src/entry/StoreView.cpp
@@ -167,7 +167,10 @@
       continue;
     }
     if (Seen.value().Compacted) {
-      co_await load(platform::ConfigPrefix);
+      const Expected<keyvalue::WatchPosition> Read =
+          co_await load(platform::ConfigPrefix);
+      if (!Read)
+        co_await runtime::sleepFor(FailurePause);
       continue;
     }
     for (const Change &C : Seen.value().Changes)
@@ -271,8 +274,12 @@
     // Until the fleet is known, this daemon may become a connection holder.
     const bool Soon =
         First || IsCoordinator || holdsConnections() || Now < S.FleetKnownFrom;
-    co_await runtime::sleepFor(Soon ? MembersInterval
-                                    : NonHolderMembersInterval);
+    const Time NextAt =
+        Now + (Soon ? MembersInterval : NonHolderMembersInterval);
+    // A daemon that becomes a connection holder needs the members at once.
+    do
+      co_await runtime::sleepFor(MembersInterval);
+    while (bootTime() < NextAt && !holdsConnections());
   }
 }
 
@@ -354,8 +361,11 @@
       Absent(Key);
   }
   publishMembers(Now);
-  if (Prefix == platform::ConfigPrefix)
+  if (Prefix == platform::ConfigPrefix) {
+    if (!Present.contains(std::string(platform::ConfigKey)))
+      NewestConfigApplied = false;
     confirmConfig(AskedAt);
+  }
   co_return keyvalue::WatchPosition{Page.value().StoreEra,
                                     Page.value().StoreRevision};
 }
--- a/src/entry/TransactionExecution.cpp
+++ b/src/entry/TransactionExecution.cpp
@@ -137,7 +137,7 @@
   ServicePool *Pool = findPool(Route.Service);
   const bool Commits = St.Kind == StatementKind::Commit;
   const Time Deadline = deadlineOf(Route, Arrival);
-  if (!co_await isWithinLimit(S, Route, Arrival, Deadline)) {
+  if (!co_await isWithinLimit(S, Deadline)) {
     S.Tx.CurrentPhase =
         Commits ? Transaction::Phase::None : Transaction::Phase::Failed;
     co_return refuse(St, S.Database, ErrorCode::Busy,
@@ -151,6 +151,8 @@
   if (Pool != nullptr)
     Pool->noteStatement(bootTime());
   for (unsigned Count = 1; Pool != nullptr; ++Count) {
+    if (std::optional<Reply> Refused = refuseWithoutAuthority(S, St, Arrival))
+      co_return std::move(*Refused);
     Expected<Checkout, pool::AcquireFailure> Acquired = co_await Pool->acquire(
         D, S.Database, Route.Priority,
         latestDispatch(Route, Pool->latencyBound(), Arrival), Deadline);
--- a/src/pool/ServicePool.cpp
+++ b/src/pool/ServicePool.cpp
@@ -19,6 +19,8 @@
 // Limits of the wait queue: about one second of statements at a typical rate.
 constexpr std::size_t MaxWaiting = 512;
 constexpr std::size_t MaxWaitingBytes = std::size_t(32) << 20;
+// One organisation must not keep the others out of the queue.
+constexpr std::size_t MaxWaitingOfOrganisation = MaxWaiting / 4;
 // Between two rounds of questions, for example while a member is busy.
 constexpr Duration LeadCheckRepeatDelay = std::chrono::milliseconds(20);
 // More than the share of answers that members lose at their worst.
@@ -28,6 +30,15 @@
 constexpr std::uint32_t PrimaryLane = 0;
 constexpr std::uint32_t ReplicaLane = 1;
 
+// Organisations of one database take turns only if their work is equal, while
+// the measured mean changes with each answer. Rounds up to a power of two.
+Duration roundedWork(Duration Mean) {
+  Duration Result = std::chrono::milliseconds(1);
+  while (Result < Mean)
+    Result *= 2;
+  return Result;
+}
+
 } // namespace
 
 std::string_view name(AcquireFailure Why) {
@@ -253,7 +264,7 @@
   std::size_t Index = 0;
   for (const auto &[Id, M] : Members) {
     MemberLoad &L = Others[Index++];
-    if (Id == Member ||
+    if (Id == Member || L.Excluded ||
         (L.Primary && L.OwnInFlight + L.OthersInFlight >= L.Slots))
       L.Usable = false;
   }
@@ -274,8 +285,14 @@
   if (Chosen && Chosen->NeedsConnection) {
     MemberState &Wanted = *States[Chosen->Member];
     const auto Opening = Wanted.OpeningFor.find(D.Organisation);
-    if (Opening == Wanted.OpeningFor.end() ||
-        Opening->second < waitingFor(D.Organisation))
+    const std::size_t Begun =
+        Opening == Wanted.OpeningFor.end() ? 0 : Opening->second;
+    // One free slot must not make every waiting organisation open a connection.
+    const bool HasRoom = D.Organisation.empty() ||
+                         Wanted.inFlight() + Wanted.Opening <
+                             concurrencyLimit(Wanted.Info.Slots, HolderCount,
+                                              Wanted.OthersInFlight);
+    if (HasRoom && (Begun == 0 || Begun < waitingFor(D.Organisation)))
       openConnection(Wanted.Info.Id, D.Organisation, Now);
     for (MemberLoad &L : Loads)
       L.CanOpenConnection = false;
@@ -317,10 +334,13 @@
   Ticket.Lane = Self.D.NeedsPrimary ? PrimaryLane : ReplicaLane;
   if (const auto Known = ServiceTimeByDatabase.find(Database);
       Known != ServiceTimeByDatabase.end())
-    Ticket.Work = Known->second.mean();
+    Ticket.Work = Self.D.Organisation.empty()
+                      ? Known->second.mean()
+                      : roundedWork(Known->second.mean());
   const admission::TicketId Id = Ticket.Id;
-  Expected<admission::Admitted, admission::Rejection> Admitted =
-      Queue.push(std::move(Ticket), MaxWaiting, Now);
+  Expected<admission::Admitted, admission::Rejection> Admitted = Queue.push(
+      std::move(Ticket),
+      Self.D.Organisation.empty() ? MaxWaiting : MaxWaitingOfOrganisation, Now);
   if (!Admitted)
     co_return Admitted.error() == admission::Rejection::DeadlinePassed
         ? AcquireFailure::TimedOut
@@ -416,11 +436,13 @@
   // An attempt that was cut off shows that answers take at least as long.
   // Without it the estimates would know only the fast ones.
   const bool WasCutOff = !Answer && Now - SentAt >= Limit;
-  if ((Answer && Answer.value().At) || WasCutOff) {
+  if (Answer && Answer.value().At)
     Latency.add(Now - SentAt);
-    if (M != nullptr)
-      M->Latency.add(Now - SentAt);
-  }
+  if (M != nullptr && Answer && Answer.value().At)
+    M->Latency.add(Now - SentAt);
+  else if (M != nullptr && WasCutOff)
+    M->Latency.add(
+        std::min<Duration>(Now - SentAt, 2 * M->Latency.upperBound()));
   if (M != nullptr && Answer)
     recordReply(*M, Answer.value(), SentAt, Over.Epoch, Now);
   co_return Answer;
--- a/src/pool/ServicePool.h
+++ b/src/pool/ServicePool.h
@@ -249,10 +249,10 @@
   static Connection takeIdle(MemberState &M, std::string_view Organisation);
   /// Returns any idle connection, for requests of the daemon itself.
   static Connection takeAnyIdle(MemberState &M);
-  /// The idle connection of another organisation that may give way to a new
-  /// one, if any.
-  static std::vector<Connection>::iterator
-  replaceable(MemberState &M, std::string_view Organisation, Time Now);
+  /// The idle connection of another organisation, none of whose statements
+  /// wait, that may give way to a new one, if any.
+  std::vector<Connection>::iterator
+  replaceable(MemberState &M, std::string_view Organisation, Time Now) const;
   void openConnection(const std::string &Member,
                       const std::string &Organisation, Time Now);
   runtime::Task<void> open(std::string Member, std::string Organisation);
--- a/src/pool/ServicePoolConnections.cpp
+++ b/src/pool/ServicePoolConnections.cpp
@@ -41,10 +41,11 @@
 
 std::vector<Connection>::iterator
 ServicePool::replaceable(MemberState &M, std::string_view Organisation,
-                         Time Now) {
+                         Time Now) const {
   return std::find_if(M.Idle.begin(), M.Idle.end(), [&](const Connection &C) {
     return C->organisation() != Organisation &&
-           Now - C->idleSince() >= MinIdleToReplace;
+           Now - C->idleSince() >= MinIdleToReplace &&
+           waitingFor(C->organisation()) == 0;
   });
 }
 
--- a/src/quota/GrantTable.cpp
+++ b/src/quota/GrantTable.cpp
@@ -18,9 +18,10 @@
           .count();
   Own.FilledAt = std::max(Own.FilledAt, Now);
   // The limit may have been lowered since the last request.
-  Own.Tokens = std::min(bucketSize(Limit.Burst, Allowed),
-                        Own.Tokens + Elapsed * Limit.RatePerSecond /
-                                         CountersPerOrganisation);
+  Own.Tokens = std::min(
+      bucketSize(Limit.Burst, Allowed),
+      Own.Tokens + Elapsed * grantedRate(Limit.RatePerSecond, Allowed) /
+                       CountersPerOrganisation);
   const auto Granted = static_cast<std::uint32_t>(
       std::min<double>(Wanted, std::floor(Own.Tokens)));
   Own.Tokens -= Granted;
--- a/src/quota/GrantTableTest.cpp
+++ b/src/quota/GrantTableTest.cpp
@@ -47,9 +47,13 @@
   }
 
   void tokensLiveShorterUnderASmallerOverage() {
-    CPPUNIT_ASSERT(tokenLifetime(Allowed) == milliseconds(400));
-    CPPUNIT_ASSERT(tokenLifetime({milliseconds(1000), 0.1, 20}) ==
-                   milliseconds(80));
+    CPPUNIT_ASSERT(tokenLifetime(Allowed) > milliseconds(230));
+    // The tokens of a window and of one lifetime before it are inside the
+    // bound.
+    CPPUNIT_ASSERT(grantedRate(1000, Allowed) * 5.24 < 1000 * 5 * 1.1);
+    CPPUNIT_ASSERT(tokenLifetime(Allowed) < milliseconds(240));
+    CPPUNIT_ASSERT(tokenLifetime({milliseconds(1000), 0.1, 20}) <
+                   milliseconds(48));
   }
 };
 
--- a/src/quota/Limits.h
+++ b/src/quota/Limits.h
@@ -20,9 +20,13 @@
   std::uint32_t Slack = 0;
 };
 
+/// The rate at which counters grant operations together. Part of the overage is
+/// used for it, so that an organisation just below its limit is not refused.
+double grantedRate(double RatePerSecond, const Tolerance &Allowed);
+
 /// Time after which a granted token expires, counted from the request for it.
-/// Tokens that were granted before a window and are used in it take up to four
-/// fifths of the overage.
+/// Tokens that were granted before a window and are used in it take the rest of
+/// the overage.
 Duration tokenLifetime(const Tolerance &Allowed);
 
 /// Tokens that one counter holds at most for an organisation: its part of the
--- a/src/statement/ConnectionState.cpp
+++ b/src/statement/ConnectionState.cpp
@@ -5,6 +5,15 @@
 
 namespace borageridge::statement {
 
+std::size_t sizeOf(const SessionState &State) {
+  std::size_t Sum = 0;
+  for (const auto &[Name, Value] : State.Values)
+    Sum += Name.size() + Value.size();
+  for (const auto &[Name, Prepared] : State.Prepared)
+    Sum += Name.size() + Prepared.Definition.size();
+  return Sum;
+}
+
 SyncPlan planSync(const ConnectionState &Connection, const Variables &Wanted) {
   SyncPlan Plan;
   for (const auto &[Name, Value] : Connection.Values)
--- a/src/statement/ConnectionState.h
+++ b/src/statement/ConnectionState.h
@@ -25,6 +25,9 @@
   std::map<std::string, PreparedStatement, std::less<>> Prepared;
 };
 
+/// Bytes of all names, values and definitions.
+std::size_t sizeOf(const SessionState &State);
+
 /// What an endpoint connection holds.
 struct ConnectionState {
   Variables Values;
