Let no exception leave the program of the crowds

Change: the command line is parsed inside the handler, as in the soak. Conclusion: no change in behaviour.

--- a/soak/Crowd.cpp
+++ b/soak/Crowd.cpp
@@ -271,18 +271,18 @@
 } // namespace
 
 int main(int Count, char **Arguments) {
-  std::string Program;
-  std::string Folder;
-  std::string Case;
-  CLI::App App(
-      "Clients that do not behave. Ends with 1 if a limit was broken.");
-  App.add_option("--program", Program, "the entry daemon")->required();
-  App.add_option("--folder", Folder, "for logs")->required();
-  App.add_option("--case", Case, "which crowd")
-      ->required()
-      ->check(CLI::IsMember(Cases));
-  CLI11_PARSE(App, Count, Arguments);
   try {
+    std::string Program;
+    std::string Folder;
+    std::string Case;
+    CLI::App App(
+        "Clients that do not behave. Ends with 1 if a limit was broken.");
+    App.add_option("--program", Program, "the entry daemon")->required();
+    App.add_option("--folder", Folder, "for logs")->required();
+    App.add_option("--case", Case, "which crowd")
+        ->required()
+        ->check(CLI::IsMember(Cases));
+    CLI11_PARSE(App, Count, Arguments);
     run(std::filesystem::absolute(Program), Folder, Case);
   } catch (const std::exception &Error) {
     std::fprintf(stderr, "%s\n", Error.what());
