Read members often after an outage in small fleets

Change: fleets of fewer than 24 daemons read the members every 0.5 s for 4 s after a start or an outage, as before.

--- a/src/entry/StoreView.cpp
+++ b/src/entry/StoreView.cpp
@@ -34,6 +34,8 @@
 // After a start or an outage, members whose entries expired register again
 // within two seconds, and a read that may be stale can lag by as much.
 constexpr Duration ReRegistrationPeriod = std::chrono::milliseconds(4000);
+// Fleets in which the reads of all daemons after an outage are a load.
+constexpr std::size_t MinDaemonsForRareReads = 24;
 // For daemons that hold no connections to members.
 constexpr Duration NonHolderMembersInterval = std::chrono::milliseconds(3000);
 // While the store is unreachable, only the cheap reads of members are retried;
@@ -186,9 +188,12 @@
     applyMembers(Page.value(), Now);
     MembersReadAt = Now;
     updateLoaded(Now);
-    // Until the fleet is known, this daemon may become a connection holder.
+    // Until the fleet is known, this daemon may become a connection holder. In
+    // a small fleet all daemons read the members that register again.
     const bool Soon =
-        First || IsCoordinator || holdsConnections() || Now < S.FleetKnownFrom;
+        First || IsCoordinator || holdsConnections() ||
+        Now < S.FleetKnownFrom ||
+        (IsRecent && S.Shared.LiveDaemons < MinDaemonsForRareReads);
     const Time NextAt =
         Now + (Soon ? MembersInterval : NonHolderMembersInterval);
     // A daemon that becomes a connection holder needs the members at once.
