Check the order of completion and resignation when the lease ends

It runs the event loop in steps of 10 ms and looked at the store after the step in which the change was completed; the lease ends up to 20 ms after that, and a process that is descheduled for longer does both in one step. Change: the test looks at the record at the moment of the call that ends the lease, which shows the order itself. Conclusion: as strict as before (the record must be complete when the lease ends, and it must end once), without the step.

--- a/src/entry/PrimaryChangeTest.cpp
+++ b/src/entry/PrimaryChangeTest.cpp
@@ -222,11 +222,19 @@
       runtime::spawn(
           Io, Subject.stop(runtime::bootTime() + std::chrono::seconds(3)));
     };
+    bool WasComplete = false;
+    Store.Intercept =
+        [&](const http::Request &Call) -> std::optional<http::Response> {
+      if (Call.Target.find("kv-lease-end") != std::string::npos)
+        WasComplete = !storedRecord().at("changing").get<bool>() &&
+                      storedRecord().at("term").get<int>() > 1;
+      return std::nullopt;
+    };
     startWith(false, "");
     primaryAfterChange();
-    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Store.count("kv-lease-end"));
     runLoopFor(milliseconds(300));
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Store.count("kv-lease-end"));
+    CPPUNIT_ASSERT(WasComplete);
   }
 
   // The former coordinator stopped between the record and the call.
