--- a/src/admission/MemoryBudget.h
+++ b/src/admission/MemoryBudget.h
@@ -8,7 +8,7 @@
 #include <map>
 #include <optional>
 #include <set>
-#include <utility>
+#include <tuple>
 
 namespace borageridge::admission {
 
@@ -46,7 +46,10 @@
     std::size_t Step = 0;
     Duration Recency{};
     HolderId Holder = 0;
-    friend auto operator<=>(const Rank &, const Rank &) = default;
+    friend bool operator<(const Rank &A, const Rank &B) {
+      return std::tie(A.Step, A.Recency, A.Holder) <
+             std::tie(B.Step, B.Recency, B.Holder);
+    }
   };
   static Rank rankOf(HolderId Holder, const Share &Held);
 
