Review case 7: writes near the greatest size are run and never answered

Cause: the limit of what callers occupy closes the connection of the largest holder, also while its statement is in work, and counts a statement with more than four times its size.

Conclusion: LOST can be broken with messages that the protocol allows.

--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -1,12 +1,14 @@
-// Machines that forward sessions lose power again and again; the machine that
-// holds the connections of the service keeps the sessions of each for ever.
+// Callers write values near the greatest size of a message at the same time.
+// The daemon closes some of their connections while their writes run.
 
 #include "../standins-2/Client.h"
 #include "../standins-2/Daemons.h"
 #include "../standins-2/Database.h"
 
+#include <atomic>
 #include <csignal>
 #include <cstdlib>
+#include <set>
 #include <thread>
 #include <vector>
 
@@ -15,59 +17,28 @@
 using standins::Client;
 using standins::Milliseconds;
 
-constexpr int Machines = 5;
-constexpr int SessionsEach = 250;
-constexpr int Losses = 5;
-constexpr int LostAtOnce = 2;
-constexpr Milliseconds PowerOff(2000);
-// recovery_s of the settings.
-constexpr Milliseconds Recovery(12000);
-constexpr int Attempts = 40;
+constexpr int Sessions = 20;
+constexpr std::size_t ValueBytes = 900000;
+// stable_window_ms and config_ms of the settings.
+constexpr Milliseconds StableWindow(4000);
+constexpr Milliseconds ConfigLimit(3000);
+constexpr Milliseconds Length(14000);
+// timeout_ms of the route.
+constexpr Milliseconds RouteTimeout(5000);
 constexpr const char *Config =
     R"({"version":7,"routes":[)"
     R"({"name":"w","host":"orders","prefix":"/","type":"primary",)"
-    R"("timeout_ms":800,"target_latency_ms":400,"priority":1,)"
+    R"("timeout_ms":5000,"target_latency_ms":2000,"priority":1,)"
     R"("backend":"ledger","attempts":2}],)"
     R"("backends":[{"name":"ledger","health_path":"/healthz",)"
-    R"("max_conns":9,"protocol":"h1","tls":false,"sync_replicas":0}],)"
+    R"("max_conns":32,"protocol":"h1","tls":false,"sync_replicas":0}],)"
     R"("limits":{"tx_idle_ms":3000}})";
 
-// Opens sessions until there are SessionsEach, and runs a read in each.
-int openSessions(standins::Daemons &Fronts, int Index,
-                 std::vector<Client> &Sessions) {
-  int Served = 0;
-  Sessions.clear();
-  for (int I = 0; I < SessionsEach; ++I) {
-    Client Session(Fronts.connect(Index));
-    if (!Session.start("orders"))
-      continue;
-    Served += Session.run("f" + std::to_string(I), "READ 1", Milliseconds(2000))
-                      .Complete
-                  ? 1
-                  : 0;
-    Sessions.push_back(std::move(Session));
-  }
-  return Served;
-}
-
-// Returns how many of some new sessions at the machine were served.
-int probe(standins::Daemons &Fronts, int Index, standins::Record &Log) {
-  int Served = 0;
-  int Ready = 0;
-  for (int I = 0; I < Attempts; ++I) {
-    Ready += Fronts.isReady(Index) ? 1 : 0;
-    Client Session(Fronts.connect(Index));
-    if (Session.start("orders") &&
-        Session.run("p" + std::to_string(I), "READ 1", Milliseconds(2000))
-            .Complete)
-      ++Served;
-    std::this_thread::sleep_for(Milliseconds(200));
-  }
-  Log.write("front-" + std::to_string(Index + 1) + " was ready at " +
-            std::to_string(Ready) + " and served " + std::to_string(Served) +
-            " of " + std::to_string(Attempts) + " new sessions");
-  return Served;
-}
+struct Cut {
+  std::string Id;
+  Milliseconds SentAt;
+  Milliseconds At;
+};
 
 int run() {
   const char *Given = std::getenv("TROUBLE");
@@ -77,71 +48,83 @@
   auto &Store = *new standins::Store(standins::platformIp());
   standins::Database::Options Wanted;
   Wanted.Ip = standins::platformIp();
-  Wanted.ReadWork = Milliseconds(1);
-  Wanted.SlotsEach = 4;
+  Wanted.WriteWork = Milliseconds(20);
   auto &Ledger = *new standins::Database(Wanted, Store, Log);
   Store.put("op/config", Config);
   standins::Daemons::Options Fleet;
-  Fleet.Count = Machines;
-  Fleet.Zones = 1;
-  Fleet.MaxFds = 3010;
-  Fleet.Interposed = true;
   Fleet.StoreAddress = Store.address();
   Fleet.PromotionAddress = Ledger.promotionAddress();
   standins::Daemons Fronts(Fleet, Log);
   if (!Fronts.waitUntilReady(Milliseconds(20000)))
     return 2;
-  std::this_thread::sleep_for(Milliseconds(3000));
+  std::this_thread::sleep_for(StableWindow);
 
-  std::vector<std::vector<Client>> Sessions(Machines);
-  for (int I = 0; I < Machines; ++I)
-    Log.write("front-" + std::to_string(I + 1) + " serves " +
-              std::to_string(openSessions(
-                  Fronts, I, Sessions[static_cast<std::size_t>(I)])) +
-              " sessions");
-  int Holder = -1;
-  for (int I = 0; I < Machines; ++I)
-    if (Fronts.forwardingProxy(I).accepted() > 0)
-      Holder = I;
-  if (Holder < 0)
-    return 2;
-  Log.write("front-" + std::to_string(Holder + 1) +
-            " holds the connections of the service");
-  const int Before = probe(Fronts, Holder, Log);
-  int Next = 0;
-  for (int Loss = 0; Trouble && Loss < Losses; ++Loss) {
-    std::vector<int> Off;
-    while (static_cast<int>(Off.size()) < LostAtOnce) {
-      Next = (Next + 1) % Machines;
-      if (Next != Holder)
-        Off.push_back(Next);
-    }
-    Fronts.forwardingProxy(Holder).playLossOfPower(true);
-    for (const int Each : Off)
-      Fronts.signal(Each, SIGKILL);
-    std::this_thread::sleep_for(PowerOff);
-    Fronts.forwardingProxy(Holder).playLossOfPower(false);
-    for (const int Each : Off)
-      Fronts.start(Each);
-    if (!Fronts.waitUntilReady(Milliseconds(20000)))
-      return 2;
-    std::this_thread::sleep_for(Milliseconds(1500));
-    for (const int Each : Off)
-      Log.write("front-" + std::to_string(Each + 1) + " serves " +
-                std::to_string(openSessions(
-                    Fronts, Each, Sessions[static_cast<std::size_t>(Each)])) +
-                " sessions again; " +
-                std::to_string(Fronts.forwardingProxy(Holder).silent()) +
-                " were left open at the holder");
+  std::atomic<bool> Stops = false;
+  std::atomic<int> Succeeded = 0;
+  std::mutex Lock;
+  std::vector<Cut> Cuts;
+  std::vector<std::thread> Callers;
+  Callers.reserve(Sessions);
+  const std::string Value(ValueBytes, 'v');
+  for (int I = 0; I < Sessions; ++I)
+    Callers.emplace_back([&, I] {
+      Client Session{standins::Stream()};
+      for (int Count = 0; !Stops; ++Count) {
+        if (!Session.isOpen()) {
+          Session = Client(Fronts.connect(0));
+          if (!Session.start("orders")) {
+            std::this_thread::sleep_for(Milliseconds(100));
+            continue;
+          }
+        }
+        const std::string Id =
+            "c" + std::to_string(I) + "n" + std::to_string(Count);
+        std::string Text = "WRITE 1a4 ";
+        Text.append(Value);
+        const Milliseconds SentAt = Log.elapsed();
+        const Client::Answer Answer = Session.run(Id, Text, Milliseconds(8000));
+        Succeeded += Answer.Complete ? 1 : 0;
+        Log.write(Id + " sent at " + std::to_string(SentAt.count()) + " ms" +
+                  (Answer.Complete ? " succeeded"
+                   : Answer.Lost   ? ", its connection ended with no answer"
+                                   : " got " + Answer.Code));
+        if (Answer.Lost) {
+          const std::lock_guard Guard(Lock);
+          Cuts.push_back({Id, SentAt, Log.elapsed()});
+        }
+        std::this_thread::sleep_for(Milliseconds(300));
+      }
+    });
+
+  std::this_thread::sleep_for(StableWindow);
+  const Milliseconds Reloaded = Log.elapsed();
+  if (Trouble)
+    Fronts.signal(0, SIGHUP);
+  std::this_thread::sleep_for(Length - StableWindow);
+  Stops = true;
+  for (std::thread &Each : Callers)
+    Each.join();
+
+  std::set<std::string> Reached;
+  for (const auto &Seen : Ledger.arrivals())
+    Reached.insert(Seen.Id);
+  int Lost = 0;
+  int AllCuts = 0;
+  for (const Cut &Each : Cuts) {
+    if (!Reached.contains(Each.Id) || Each.At - Each.SentAt >= RouteTimeout)
+      continue;
+    ++AllCuts;
+    if (!Trouble || Each.SentAt > Reloaded + ConfigLimit || Each.At < Reloaded)
+      continue;
+    ++Lost;
+    Log.write("LOST: " + Each.Id + " was passed on and got no answer");
   }
-  std::this_thread::sleep_for(Recovery);
-  const int After = probe(Fronts, Holder, Log);
-  const bool Alive = !Fronts.hasEnded(Holder);
-  std::printf("new sessions served at the holder: %d of %d before, %d after\n",
-              Before, Attempts, After);
-  if (Before < Attempts / 4 || !Alive)
+  std::printf("%d writes succeeded; %d were passed on and got no answer, %d of "
+              "them around the reload\n",
+              Succeeded.load(), AllCuts, Lost);
+  if (Succeeded == 0 || Fronts.hasEnded(0))
     return 2;
-  return After < Attempts / 4 ? 1 : 0;
+  return Lost == 0 ? 0 : 1;
 }
 
 } // namespace
