--- a/src/pool/ServicePool.h
+++ b/src/pool/ServicePool.h
@@ -224,6 +224,14 @@
     }
   };
   struct Waiter;
+  static constexpr std::uint32_t PrimaryLane = 0;
+  static constexpr std::uint32_t ReplicaLane = 1;
+  /// About one second of statements at a typical rate.
+  static constexpr admission::QueueLimits WaitLimits{
+      .MaxTickets = 512, .MaxBytes = std::size_t(32) << 20};
+  /// One organisation must not keep the others out of the queue.
+  static constexpr std::size_t MaxWaitingOfOrganisation =
+      WaitLimits.MaxTickets / 4;
 
   MemberState *find(std::string_view Member);
   const MemberState *find(std::string_view Member) const;
