--- a/src/admission/AdmissionQueue.cpp
+++ b/src/admission/AdmissionQueue.cpp
@@ -99,6 +99,7 @@
   Queued.Owner = &Owner;
   Queued.Request = std::move(Request);
   Waiting.ByLane[Queued.Request.Lane].push_back(Queued);
+  ++SizeOfLane[Queued.Request.Lane];
   At.Arrivals.push_back(Queued);
 }
 
@@ -148,6 +149,34 @@
   return Expired;
 }
 
+std::vector<Ticket> AdmissionQueue::shrink(std::uint32_t Lane,
+                                           std::size_t MaxTickets) {
+  std::vector<Ticket> Taken;
+  while (SizeOfLane[Lane] > MaxTickets)
+    Taken.push_back(discard(lastOf(Lane)));
+  return Taken;
+}
+
+// Of callers with equal work, which take turns, the one with the most tickets
+// is served last.
+AdmissionQueue::Entry &AdmissionQueue::lastOf(std::uint32_t Lane) {
+  auto At = Levels.rbegin();
+  for (;; ++At) {
+    LaneList *Last = nullptr;
+    Duration Work{};
+    for (Share &Waiting : At->Round) {
+      LaneList &Tickets = Waiting.ByLane[Lane];
+      if (Tickets.empty() || (Last != nullptr && Waiting.Work == Work &&
+                              Tickets.size() < Last->size()))
+        continue;
+      Last = &Tickets;
+      Work = Waiting.Work;
+    }
+    if (Last != nullptr)
+      return Last->back();
+  }
+}
+
 std::optional<Ticket> AdmissionQueue::remove(TicketId Id) {
   const auto Found = Entries.find(Id);
   if (Found == Entries.end())
@@ -187,6 +216,7 @@
     At.Round.erase(At.Round.iterator_to(Waiting));
   At.Bytes -= Request.Bytes;
   QueuedBytes -= Request.Bytes;
+  --SizeOfLane[Request.Lane];
   Deadlines.erase({Request.Deadline, Request.Id});
   Ticket Taken = std::move(Queued.Request);
   Entries.erase(Taken.Id);
--- a/src/admission/AdmissionQueue.h
+++ b/src/admission/AdmissionQueue.h
@@ -85,6 +85,10 @@
   /// Takes the tickets whose deadline has passed, earliest deadline first.
   std::vector<Ticket> expire(Time Now);
 
+  /// Takes out the tickets of a lane that would be served last, until it has at
+  /// most MaxTickets.
+  std::vector<Ticket> shrink(std::uint32_t Lane, std::size_t MaxTickets);
+
   /// Takes a queued ticket out, for example after its caller went away.
   std::optional<Ticket> remove(TicketId Id);
 
@@ -99,6 +103,7 @@
 
   /// Number and bytes of queued tickets.
   std::size_t size() const { return Entries.size(); }
+  std::size_t size(std::uint32_t Lane) const { return SizeOfLane[Lane]; }
   std::size_t bytes() const { return QueuedBytes; }
   std::size_t running() const { return Running.size(); }
   /// Queued and running requests of one caller.
@@ -152,12 +157,15 @@
   static Entry *candidate(Share &Waiting,
                           absl::FunctionRef<bool(const Ticket &)> CanRun,
                           Time Now);
+  /// The ticket of a lane that is not empty that would be served last.
+  Entry &lastOf(std::uint32_t Lane);
   Ticket detach(Entry &Queued);
   Ticket discard(Entry &Queued);
   void release(const std::string &Caller);
 
   QueueLimits Limits;
   std::size_t QueuedBytes = 0;
+  std::array<std::size_t, Lanes> SizeOfLane{};
   absl::node_hash_map<std::string, CallerState> Callers;
   std::array<Level, Priorities> Levels;
   absl::node_hash_map<TicketId, Entry> Entries;
--- a/src/admission/AdmissionQueueTest.cpp
+++ b/src/admission/AdmissionQueueTest.cpp
@@ -51,6 +51,7 @@
   CPPUNIT_TEST(refusedPushDisplacesNothing);
   CPPUNIT_TEST(expiresTicketsAtTheirDeadline);
   CPPUNIT_TEST(neverReturnsATicketPastItsDeadline);
+  CPPUNIT_TEST(shrinksALaneByTheTicketsThatWouldBeServedLast);
   CPPUNIT_TEST(removedTicketFreesItsCallersLimit);
   CPPUNIT_TEST(sizesAgreeWithAModelInAnyOrderOfCalls);
   CPPUNIT_TEST(drainsTenThousandTicketsOfManyCallers);
@@ -239,6 +240,26 @@
     CPPUNIT_ASSERT(!Queue.popIf(anyTicket, Now + milliseconds(30)));
   }
 
+  void shrinksALaneByTheTicketsThatWouldBeServedLast() {
+    push(Large, ticket(1, "a"));
+    push(Large, ticket(2, "a"));
+    push(Large, ticket(3, "a"));
+    push(Large, ticket(4, "b"));
+    Ticket Long = ticket(5, "c");
+    Long.Work = milliseconds(9);
+    push(Large, Long);
+    push(Large, ticket(6, "a", 1));
+    Ticket OtherLane = ticket(7, "a");
+    OtherLane.Lane = 1;
+    push(Large, OtherLane);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(6), Large.size(0));
+    CPPUNIT_ASSERT(ids(Large.shrink(0, 3)) == std::vector<TicketId>({5, 3, 2}));
+    CPPUNIT_ASSERT(Large.shrink(0, 3).empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Large.size(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), Large.shrink(0, 0).size());
+    CPPUNIT_ASSERT(popAll(Large) == std::vector<TicketId>({7}));
+  }
+
   void removedTicketFreesItsCallersLimit() {
     push(Queue, ticket(1, "a"));
     CPPUNIT_ASSERT(Queue.remove(1).has_value());
--- a/src/entry/CallerConnection.cpp
+++ b/src/entry/CallerConnection.cpp
@@ -36,10 +36,13 @@
 } // namespace
 
 // Bytes that have arrived but are not read yet may be a request.
-bool CallerConnection::isBetweenRequests() const {
+bool CallerConnection::hasUnreadInput() const {
   error_code Error;
-  return Buffer.empty() && !isInTransaction() &&
-         (Socket.available(Error) == 0 || Error);
+  return Socket.available(Error) > 0 && !Error;
+}
+
+bool CallerConnection::isBetweenRequests() const {
+  return Buffer.empty() && !isInTransaction() && !hasUnreadInput();
 }
 
 bool CallerConnection::isIdle() const {
@@ -54,12 +57,15 @@
 // session that is being set up goes on, since its caller would have to begin
 // again. Requests that have been read are answered in any case, also if the
 // caller does not wait for the answers.
-bool CallerConnection::endsAfter(statement::StatementKind Answered) const {
+// A refused caller finds another daemon if it connects again.
+bool CallerConnection::endsAfter(statement::StatementKind Answered,
+                                 const statement::Reply &Answer) const {
   using Kind = statement::StatementKind;
-  if (!S.ClosesSessions)
+  const bool Refused = S.Stopping && Answer.Error == ErrorCode::Busy;
+  if (!S.ClosesSessions && !Refused)
     return false;
   if (bootTime() >= S.StatementExecutor.latestAnswer())
-    return Buffer.find("\r\n") == std::string::npos;
+    return Buffer.find("\r\n") == std::string::npos && !hasUnreadInput();
   const bool SetsUp = Answered == Kind::SetVariable ||
                       Answered == Kind::Prepare || Answered == Kind::Deallocate;
   return !SetsUp && isBetweenRequests();
@@ -73,6 +79,11 @@
     S.StatementExecutor.abortWaitingTransaction(CallerSession);
 }
 
+void CallerConnection::endForwardedWait() {
+  if (Holder && isWorking())
+    Holder->close();
+}
+
 // Called when the holder or its session is lost, and the session state with it.
 // A caller with nothing outstanding only has to connect again. One in a
 // transaction receives an error for its next statement.
@@ -289,7 +300,7 @@
   const bool HolderLost = Holder && !Holder->isOpen();
   co_return Written && !HolderLost &&
       Answer.Error != ErrorCode::UnknownDatabase &&
-      Answer.Error != ErrorCode::Unauthenticated && !endsAfter(Kind);
+      Answer.Error != ErrorCode::Unauthenticated && !endsAfter(Kind, Answer);
 }
 
 // The holder executes the statement and decides its outcome. If the holder is
--- a/src/entry/CallerConnection.h
+++ b/src/entry/CallerConnection.h
@@ -47,6 +47,9 @@
   /// Rolls back the transaction, which waits for its caller. The next statement
   /// is answered with that.
   void abortTransaction();
+  /// Ends the wait for the connection holder, if a forwarded statement is in
+  /// work.
+  void endForwardedWait();
   /// For how long the connection has waited for input; 0 if it does not wait.
   Duration waited(Time Now) const;
   /// Closes the connection. A statement being processed is not answered.
@@ -71,7 +74,9 @@
   bool isBetweenRequests() const;
   /// Reports heldBytes() to the limits.
   void updateOccupied();
-  bool endsAfter(statement::StatementKind Answered) const;
+  bool hasUnreadInput() const;
+  bool endsAfter(statement::StatementKind Answered,
+                 const statement::Reply &Answer) const;
 
   runtime::Task<statement::Reply> forward(const statement::Statement &St,
                                           std::string_view Text, Time Arrival);
--- a/src/entry/CallerConnectionTest.cpp
+++ b/src/entry/CallerConnectionTest.cpp
@@ -40,6 +40,8 @@
   CPPUNIT_TEST(callerOfAnAbortedTransactionIsTold);
   CPPUNIT_TEST(callerOfAnAbortedForwardedTransactionIsTold);
   CPPUNIT_TEST(forwardedStatementIsAnsweredBeforeAStopEnds);
+  CPPUNIT_TEST(forwardedStatementInWorkIsAnsweredWhenAStopEndsItsWait);
+  CPPUNIT_TEST(callerRefusedInAStopConnectsAgain);
   CPPUNIT_TEST_SUITE_END();
 
   State S{Io, settings(), tcp::endpoint(), Log};
@@ -232,7 +234,8 @@
   void stoppingDaemonAnswersWhatItHasReadAtItsEnd() {
     connectLocally();
     S.ClosesSessions = true;
-    S.StatementExecutor.setLatestAnswer(runtime::bootTime());
+    S.StatementExecutor.setAnswerLimits(
+        {runtime::bootTime(), runtime::bootTime()});
     const std::string Answers = ask("QUERY q1 SET a 1\r\nQUERY q2 SET a 2\r\n"
                                     "QUERY q3 SET");
     CPPUNIT_ASSERT_EQUAL(std::string("COMPLETE -\r\nREADY I -\r\n"
@@ -265,9 +268,29 @@
 
   void forwardedStatementIsAnsweredBeforeAStopEnds() {
     Holder.Answer = [](const std::string &) { return ""; };
-    S.StatementExecutor.setLatestAnswer(runtime::bootTime() + milliseconds(30));
+    S.StatementExecutor.setAnswerLimits(
+        {runtime::bootTime() + milliseconds(30),
+         runtime::bootTime() + milliseconds(30)});
     CPPUNIT_ASSERT(ask(Write).starts_with("ERROR INDOUBT"));
   }
+
+  // Guards against a statement that was forwarded before the stop and keeps the
+  // time-out of its route.
+  void forwardedStatementInWorkIsAnsweredWhenAStopEndsItsWait() {
+    Holder.Answer = [](const std::string &) { return ""; };
+    CPPUNIT_ASSERT_EQUAL(std::string(), ask(Write));
+    Subject->endForwardedWait();
+    CPPUNIT_ASSERT(received().starts_with("ERROR INDOUBT"));
+  }
+
+  // Guards against a caller that is refused again and again by a daemon that
+  // cannot serve it any more.
+  void callerRefusedInAStopConnectsAgain() {
+    connectLocally();
+    S.Stopping = true;
+    CPPUNIT_ASSERT(ask(Write).starts_with("ERROR BUSY"));
+    CPPUNIT_ASSERT_EQUAL(std::string("closed"), received());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CallerConnectionTest);
--- a/src/entry/Daemon.cpp
+++ b/src/entry/Daemon.cpp
@@ -21,11 +21,12 @@
 
 constexpr Duration TickInterval = std::chrono::milliseconds(50);
 constexpr Duration RebalanceInterval = std::chrono::milliseconds(700);
-constexpr Duration StopPollInterval = std::chrono::milliseconds(50);
 // A session that has just been answered or accepted is not closed by a stop
 // yet, since the next request of its caller may be under way.
 constexpr Duration MinIdleTime = std::chrono::milliseconds(100);
 constexpr Duration LeaseReleaseTime = std::chrono::milliseconds(100);
+// Between two looks at whether the last answers have been written.
+constexpr Duration LastAnswersPollInterval = std::chrono::milliseconds(10);
 // Part of the leave limit that is kept for the change of primary of a leaving
 // member, which takes up to two seconds.
 constexpr Duration LeavingReserve = std::chrono::milliseconds(1500);
@@ -245,7 +246,8 @@
   runtime::spawn(Io, OrganisationQuotas.release());
   runtime::spawn(Io, resign(Start + S.Settings.StopLimit / 2));
   StopPlan Plan(Start, S.Settings.StopLimit);
-  S.StatementExecutor.setLatestAnswer(Plan.latestAnswer());
+  S.StatementExecutor.setAnswerLimits(
+      {Plan.latestAnswer(), Plan.latestReply()});
   for (StopPhase Phase = StopPhase::Announce; Phase != StopPhase::End;) {
     Phase = Plan.update(bootTime(), Callers->size() + (Resigned ? 0 : 1));
     if (Phase == StopPhase::Finish)
@@ -254,21 +256,40 @@
       S.ClosesSessions = true;
       closeCallers(Plan, bootTime());
     }
-    co_await runtime::sleepFor(StopPollInterval);
+    const Time Now = bootTime();
+    if (Now >= Plan.latestAnswer())
+      endWaits();
+    co_await runtime::sleepFor(Plan.untilNextUpdate(Now));
   }
   // Ending the lease spares other daemons waiting for it to expire. The process
   // waits only briefly for the store's answer.
   runtime::spawn(Io, Registrar.release());
   co_await runtime::sleepFor(LeaseReleaseTime);
-  const auto Unanswered =
-      std::count_if(Callers->begin(), Callers->end(),
-                    [](const auto &Caller) { return Caller->isWorking(); });
-  Log.write(event::Stopped, Callers->size(),
-            static_cast<std::uint64_t>(Unanswered),
+  co_await waitForAnswers(Plan.latestReply());
+  S.StatementExecutor.endCalls();
+  co_await waitForAnswers(Plan.end());
+  Log.write(event::Stopped, Callers->size(), unanswered(),
             runtime::toMilliseconds(bootTime() - Start));
   Io.stop();
 }
 
+std::uint64_t Daemon::unanswered() const {
+  return static_cast<std::uint64_t>(
+      std::count_if(Callers->begin(), Callers->end(),
+                    [](const auto &Caller) { return Caller->isWorking(); }));
+}
+
+Task<void> Daemon::waitForAnswers(Time Until) {
+  while (unanswered() > 0 && bootTime() < Until)
+    co_await runtime::sleepFor(LastAnswersPollInterval);
+}
+
+void Daemon::endWaits() {
+  S.StatementExecutor.endWaits();
+  for (const auto &Caller : *Callers)
+    Caller->endForwardedWait();
+}
+
 void Daemon::closeCallerListeners() {
   for (const auto &Open : std::exchange(CallerListeners, {}))
     Open->close();
--- a/src/entry/Daemon.h
+++ b/src/entry/Daemon.h
@@ -47,6 +47,12 @@
   runtime::Task<void> handleSignals();
   runtime::Task<void> stop();
   runtime::Task<void> resign(Time Deadline);
+  /// Number of callers whose statement is in work or whose answer is being
+  /// written.
+  std::uint64_t unanswered() const;
+  runtime::Task<void> waitForAnswers(Time Until);
+  /// Ends all waits of statements but for the replies of members.
+  void endWaits();
   void closeCallerListeners();
   void closeCallers(const StopPlan &Plan, Time Now);
   void closeSessionsOfUnreachablePeers();
--- a/src/entry/DaemonTest.cpp
+++ b/src/entry/DaemonTest.cpp
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(unknownConfigurationIsNotReportedAsAnUnknownDatabase);
   CPPUNIT_TEST(connectionsAcceptedUntilTheEndOfAStopAreAnswered);
   CPPUNIT_TEST(sessionsThatAreNeverIdleAreNotCutAtAStop);
+  CPPUNIT_TEST(statementsThatWaitWhenAStopBeginsAreAnswered);
   CPPUNIT_TEST(stopEndsTheRoleOfCoordinatorBeforeTheProcess);
   CPPUNIT_TEST_SUITE_END();
 
@@ -243,6 +244,32 @@
     }
   }
 
+  // Guards against review/7: statements on a route with a time-out that is
+  // longer than a stop, which came before it and wait without a member.
+  void statementsThatWaitWhenAStopBeginsAreAnswered() {
+    keyvalue::Transaction Change;
+    Change.Puts.push_back(
+        {"op/config",
+         R"({"version":3,"routes":[{"host":"jobs","backend":"db",)"
+         R"("type":"primary","timeout_ms":10000,"target_latency_ms":9000}],)"
+         R"("backends":[{"name":"db","max_conns":20}]})",
+         0});
+    Store.commit(Change);
+    run(milliseconds(900));
+    runtime::error_code Error;
+    tcp::socket Caller = connect(CallerPort, Error);
+    runtime::asio::write(
+        Caller,
+        runtime::asio::buffer(std::string(Start) + "QUERY q1 WRITE 1 x\r\n"));
+    run(milliseconds(100));
+    CPPUNIT_ASSERT(received(Caller).starts_with("READY"));
+    std::raise(SIGTERM);
+    const Time Latest = runtime::bootTime() + settings().StopLimit;
+    while (run(milliseconds(20)))
+      CPPUNIT_ASSERT(runtime::bootTime() < Latest);
+    CPPUNIT_ASSERT(received(Caller).starts_with("ERROR BUSY"));
+  }
+
   // Guards against a change that is cut when no session is left: the next
   // coordinator would wait for the lease to expire.
   void stopEndsTheRoleOfCoordinatorBeforeTheProcess() {
--- a/src/entry/Executor.cpp
+++ b/src/entry/Executor.cpp
@@ -119,6 +119,22 @@
   return Found == ByService.end() ? nullptr : Found->second.get();
 }
 
+void Executor::setAnswerLimits(const pool::AnswerLimits &Limits) {
+  StopLimits = Limits;
+  for (const auto &[Name, Pool] : ByService)
+    Pool->setAnswerLimits(Limits);
+}
+
+void Executor::endWaits() {
+  for (const auto &[Name, Pool] : ByService)
+    Pool->endWaits();
+}
+
+void Executor::endCalls() {
+  for (const auto &[Name, Pool] : ByService)
+    Pool->endCalls();
+}
+
 bool Executor::writes(const Session &S, const Statement &St) {
   if (St.Kind == StatementKind::Write)
     return true;
@@ -281,8 +297,8 @@
 }
 
 bool Executor::mayRepeat(const Attempt &Result, ServicePool &Pool,
-                         unsigned Count, Time Deadline, Time Now) {
-  if (Count >= MaxAttempts || Now >= Deadline)
+                         unsigned Count, Time Deadline, Time Now) const {
+  if (Count >= MaxAttempts || Now >= std::min(Deadline, latestAnswer()))
     return false;
   const bool WasLost = !Result && Result.error() == CallFailure::MayHaveRun;
   return !WasLost || Pool.mayRepeat(Now);
@@ -320,11 +336,12 @@
     co_return refuse(St, S.Database, ErrorCode::Busy, "service has no members",
                      "", None, Arrival);
   const bool Writes = writes(S, St);
-  const Time Deadline = deadlineOf(Route, Arrival);
-  if (!co_await isWithinLimit(S, Deadline))
+  const auto Deadline = [&] { return deadlineOf(Route, Arrival); };
+  if (!co_await isWithinLimit(S, Deadline()))
     co_return refuse(St, S.Database, ErrorCode::Busy,
                      "organisation is beyond its limit", "", None, Arrival);
   PlacementRequest D = demandFor(S, Route, Writes, Arrival);
+  D.CommitsWrite = Writes;
   Pool->noteStatement(bootTime());
   for (unsigned Count = 1;; ++Count) {
     const auto CannotConfirm = [&] {
@@ -339,7 +356,7 @@
     D.Organisation = S.Organisation;
     Expected<Checkout, pool::AcquireFailure> Acquired = co_await Pool->acquire(
         D, S.Database, Route.Priority,
-        latestDispatch(Route, Pool->latencyBound(), Arrival), Deadline);
+        latestDispatch(Route, Pool->latencyBound(), Arrival), Deadline());
     if (!Acquired)
       co_return refuse(St, S.Database, ErrorCode::Busy, name(Acquired.error()),
                        "", None, Arrival);
@@ -349,8 +366,8 @@
       co_return refuse(St, S.Database, ErrorCode::Busy,
                        "primary cannot be confirmed", "", None, Arrival);
     }
-    const Duration Limit =
-        timeoutFor(Route, !Writes, D, Connection, *Pool, Deadline, bootTime());
+    const Duration Limit = timeoutFor(Route, !Writes, D, Connection, *Pool,
+                                      Deadline(), bootTime());
     const Time SentAt = bootTime();
     Attempt Result = co_await runOnConnection(Connection, S, *Pool, St, Limit,
                                               Connection.RequiredPosition);
@@ -359,7 +376,7 @@
     bool MayAcknowledge = !Connection.OnPrimary ||
                           Pool->mayAcknowledge(Connection.Epoch, bootTime());
     if (MayAcknowledge && needsConfirmation(Connection, *Pool, Result, Writes))
-      MayAcknowledge = co_await confirm(Connection, *Pool, Deadline);
+      MayAcknowledge = co_await confirm(Connection, *Pool, Deadline());
     if (Result && Result.value().State != None)
       Connection.Link->close();
     const std::uint64_t LogEpoch = Pool->logEpoch();
@@ -383,7 +400,7 @@
                        describeFailure(Result), Connection.Link->member(), None,
                        Arrival);
     recordRetry(St, Connection.Link->member(), Result, Count);
-    if (!mayRepeat(Result, *Pool, Count, Deadline, bootTime()))
+    if (!mayRepeat(Result, *Pool, Count, Deadline(), bootTime()))
       co_return refuse(St, S.Database, refusalCode(Result),
                        describeFailure(Result), Connection.Link->member(), None,
                        Arrival);
--- a/src/entry/Executor.h
+++ b/src/entry/Executor.h
@@ -69,10 +69,16 @@
   /// statement is answered with that.
   void abortWaitingTransaction(Session &S);
 
-  /// Sets the time by which every statement that begins from now on is
-  /// answered, whatever its route allows.
-  void setLatestAnswer(Time Latest) { LatestAnswer = Latest; }
-  Time latestAnswer() const { return LatestAnswer; }
+  /// Limits the waits of all statements, also of those in work, whatever their
+  /// route allows.
+  void setAnswerLimits(const pool::AnswerLimits &Limits);
+  Time latestAnswer() const { return StopLimits.LatestAnswer; }
+  /// Ends all waits of statements but for the replies of members. To be called
+  /// from the latest answer on.
+  void endWaits();
+  /// Ends the waits for the replies of members. To be called from the latest
+  /// reply on.
+  void endCalls();
   /// Returns an error that the daemon itself reports, and logs it.
   statement::Reply refuse(const statement::Statement &St,
                           std::string_view Database, statement::ErrorCode Code,
@@ -117,14 +123,14 @@
                              const pool::Checkout &Connection,
                              pool::ServicePool &Pool, Time Deadline, Time Now);
   /// Whether the statement may be sent again after this result.
-  static bool mayRepeat(const Attempt &Result, pool::ServicePool &Pool,
-                        unsigned Count, Time Deadline, Time Now);
+  bool mayRepeat(const Attempt &Result, pool::ServicePool &Pool, unsigned Count,
+                 Time Deadline, Time Now) const;
   /// Whether a successful write needs a confirmation that the primary led.
   static bool needsConfirmation(const pool::Checkout &Connection,
                                 const pool::ServicePool &Pool,
                                 const Attempt &Result, bool Wrote);
-  /// Waits for that until Deadline. Returns whether the answer may be passed
-  /// on.
+  /// Waits for that until Deadline or the end of all waits. Returns whether the
+  /// answer may be passed on.
   static runtime::Task<bool> confirm(pool::Checkout Connection,
                                      pool::ServicePool &Pool, Time Deadline);
   runtime::Task<bool> synchroniseConnection(const pool::Checkout &Connection,
@@ -141,9 +147,10 @@
   runtime::Task<void> rollBack(pool::ServicePool &Pool,
                                pool::Checkout Connection);
   pool::ServicePool *findPool(std::string_view Service);
-  /// Time by which a statement that arrived at Arrival is answered.
+  /// Time by which a statement that arrived at Arrival is answered. A planned
+  /// stop may shorten it while the statement is in work.
   Time deadlineOf(const catalog::Route &Route, Time Arrival) const {
-    return std::min(Arrival + Route.Timeout, LatestAnswer);
+    return std::min(Arrival + Route.Timeout, StopLimits.LatestReply);
   }
   static bool writes(const Session &S, const statement::Statement &St);
 
@@ -155,7 +162,7 @@
   catalog::Catalog Config;
   authority::Recency ConfigRecency;
   OperationGate Gate;
-  Time LatestAnswer = Time::max();
+  pool::AnswerLimits StopLimits;
 };
 
 } // namespace borageridge::entry
--- a/src/entry/Forwarding.cpp
+++ b/src/entry/Forwarding.cpp
@@ -69,7 +69,8 @@
       S.HolderRanking.byPreference(Service, S.Settings.AvailabilityZone);
   unsigned Tries = 0;
   for (const std::string &Name : ByPreference) {
-    if (Name == S.Settings.InstanceName || Tries == MaxTries)
+    if (Name == S.Settings.InstanceName || Tries == MaxTries ||
+        bootTime() >= S.StatementExecutor.latestAnswer())
       co_return nullptr;
     const auto Found = S.Peers.find(Name);
     if (Found == S.Peers.end() || Found->second.Unreachable ||
@@ -85,13 +86,14 @@
     const runtime::tcp::endpoint To(
         Ip, static_cast<std::uint16_t>(Holder.PeerPort + 1));
     auto Link = std::make_shared<pool::EndpointConnection>(S.Io, Name);
+    const Time Latest = S.StatementExecutor.latestAnswer();
     Expected<statement::Reply> Answer = co_await Link->open(
         To,
         platform::encodeStart(Database, S.Settings.InstanceName,
                               S.StatementExecutor.catalog().HasOrganisations
                                   ? Fingerprint
                                   : Database),
-        OpenTimeout);
+        std::min(OpenTimeout, Latest - bootTime()));
     if (Answer && !Answer.value().Error)
       co_return Link;
     // The holder applies another version of the configuration, which concerns
--- a/src/entry/Quotas.cpp
+++ b/src/entry/Quotas.cpp
@@ -236,7 +236,9 @@
   Time Now = bootTime();
   Own.Tokens.noteArrival(Now);
   while (!Own.Tokens.take(Now)) {
-    if (Own.Tokens.isDenied(Now) || Now >= Deadline) {
+    // A planned stop may shorten the wait.
+    const Time End = std::min(Deadline, S.StatementExecutor.latestAnswer());
+    if (Own.Tokens.isDenied(Now) || Now >= End) {
       S.Metrics.addQuotaDecision(Organisation, false);
       co_return false;
     }
@@ -244,7 +246,7 @@
     Own.Waiting.push_back(Ready);
     if (!std::exchange(Own.IsAsking, true))
       runtime::spawn(S.Io, ask(Organisation));
-    co_await Ready->wait(Deadline - Now);
+    co_await Ready->wait(End - Now);
     std::erase(Own.Waiting, Ready);
     Now = bootTime();
   }
--- a/src/entry/StopPlan.h
+++ b/src/entry/StopPlan.h
@@ -34,15 +34,23 @@
   /// may act when the phase changes.
   StopPhase update(Time Now, std::size_t Open);
 
+  /// Time until the next call of update: soon, and no later than the latest
+  /// answer and the limit.
+  Duration untilNextUpdate(Time Now) const;
+
   /// Whether open transactions that wait for their caller are rolled back.
   /// Their sessions stay open for a while, so that a statement under way is
   /// answered.
   bool abortsTransactions(Time Now) const;
   /// Whether sessions in a transaction that wait for their caller are closed.
   bool closesTransactions(Time Now) const;
-  /// Time by which each statement must be answered, so that none is in work
-  /// when the process ends.
+  /// Time by which each statement that no member runs must be answered, so that
+  /// none waits when the process ends.
   Time latestAnswer() const;
+  /// Time until which the replies of members are awaited.
+  Time latestReply() const;
+  /// Time at which the process ends even if answers are still being written.
+  Time end() const;
 
 private:
   bool hasPassed(Time Now, Duration Since) const {
--- a/src/entry/StopPlanTest.cpp
+++ b/src/entry/StopPlanTest.cpp
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(transactionsHaveHalfOfTheLimit);
   CPPUNIT_TEST(callersOfAbortedTransactionsHaveTimeForTheirNextStatement);
   CPPUNIT_TEST(statementsAreAnsweredBeforeTheProcessEnds);
+  CPPUNIT_TEST(lastAnswersAreWrittenBeforeTheProcessIsKilled);
   CPPUNIT_TEST(shortLimitStillPassesThroughAllPhases);
   CPPUNIT_TEST_SUITE_END();
 
@@ -86,6 +87,14 @@
     CPPUNIT_ASSERT(Latest > milliseconds(5000));
   }
 
+  void lastAnswersAreWrittenBeforeTheProcessIsKilled() {
+    CPPUNIT_ASSERT(Subject.latestAnswer() < Subject.latestReply());
+    CPPUNIT_ASSERT(Subject.end() - Subject.latestReply() >= milliseconds(100));
+    CPPUNIT_ASSERT(Subject.end() - Start <= milliseconds(5900));
+    const Time Before = Subject.latestAnswer() - milliseconds(20);
+    CPPUNIT_ASSERT(Subject.untilNextUpdate(Before) == milliseconds(20));
+  }
+
   void shortLimitStillPassesThroughAllPhases() {
     Subject = StopPlan(Start, milliseconds(1000));
     CPPUNIT_ASSERT(at(290, 1) == StopPhase::Announce);
--- a/src/entry/TransactionExecution.cpp
+++ b/src/entry/TransactionExecution.cpp
@@ -136,8 +136,8 @@
   const catalog::Route Route = S.Tx.Route;
   ServicePool *Pool = findPool(Route.Service);
   const bool Commits = St.Kind == StatementKind::Commit;
-  const Time Deadline = deadlineOf(Route, Arrival);
-  if (!co_await isWithinLimit(S, Deadline)) {
+  const auto Deadline = [&] { return deadlineOf(Route, Arrival); };
+  if (!co_await isWithinLimit(S, Deadline())) {
     S.Tx.CurrentPhase =
         Commits ? Transaction::Phase::None : Transaction::Phase::Failed;
     co_return refuse(St, S.Database, ErrorCode::Busy,
@@ -155,7 +155,7 @@
       co_return std::move(*Refused);
     Expected<Checkout, pool::AcquireFailure> Acquired = co_await Pool->acquire(
         D, S.Database, Route.Priority,
-        latestDispatch(Route, Pool->latencyBound(), Arrival), Deadline);
+        latestDispatch(Route, Pool->latencyBound(), Arrival), Deadline());
     if (!Acquired) {
       Reason = name(Acquired.error());
       Result = CallFailure::NotSent;
@@ -164,8 +164,8 @@
     S.Tx.Connection = std::move(Acquired).value();
     const Checkout Connection = *S.Tx.Connection;
     Member = Connection.Link->member();
-    const Duration Limit =
-        timeoutFor(Route, !Commits, D, Connection, *Pool, Deadline, bootTime());
+    const Duration Limit = timeoutFor(Route, !Commits, D, Connection, *Pool,
+                                      Deadline(), bootTime());
     Result = co_await beginAndRun(S, *Pool, St, Limit);
     const bool MayAcknowledge =
         !Connection.OnPrimary ||
@@ -195,7 +195,7 @@
     if (Step == NextAction::Answer)
       break;
     recordRetry(St, Member, Result, Count);
-    if (!mayRepeat(Result, *Pool, Count, Deadline, bootTime()))
+    if (!mayRepeat(Result, *Pool, Count, Deadline(), bootTime()))
       break;
     excludeMember(D, Member, Pool->members().size());
     if (Connection.OnPrimary || D.Excluded.empty())
@@ -243,7 +243,15 @@
                                           Time Arrival) {
   ServicePool *Pool = findPool(S.Tx.Route.Service);
   const Checkout Connection = *S.Tx.Connection;
-  const Duration Limit = deadlineOf(S.Tx.Route, Arrival) - bootTime();
+  const Time Now = bootTime();
+  if (Pool->isTooLate(S.Database, false, Now)) {
+    failTransaction(S);
+    co_return refuse(St, S.Database, ErrorCode::Aborted,
+                     name(pool::AcquireFailure::Stopping),
+                     Connection.Link->member(), TransactionState::Failed,
+                     Arrival);
+  }
+  const Duration Limit = deadlineOf(S.Tx.Route, Arrival) - Now;
   const bool Writes = writes(S, St);
   // Set before the statement is sent, because it may run even if its answer is
   // lost.
@@ -280,23 +288,28 @@
   ServicePool *Pool = findPool(S.Tx.Route.Service);
   const Checkout Connection = *S.Tx.Connection;
   const bool Wrote = S.Tx.Wrote;
-  const Time Deadline = deadlineOf(S.Tx.Route, Arrival);
-  if (Wrote && Pool->mayUsePrimary(bootTime()) &&
-      !Pool->canConfirmLead(bootTime())) {
+  std::string_view Obstacle;
+  if (Wrote && Pool->isTooLate(S.Database, true, bootTime()))
+    Obstacle = name(pool::AcquireFailure::Stopping);
+  else if (Wrote && Pool->mayUsePrimary(bootTime()) &&
+           !Pool->canConfirmLead(bootTime()))
+    Obstacle = "primary cannot be confirmed";
+  if (!Obstacle.empty()) {
     releaseConnection(S, false);
     S.Tx = Transaction();
-    co_return refuse(St, S.Database, ErrorCode::Aborted,
-                     "primary cannot be confirmed", Connection.Link->member(),
-                     TransactionState::None, Arrival);
+    co_return refuse(St, S.Database, ErrorCode::Aborted, Obstacle,
+                     Connection.Link->member(), TransactionState::None,
+                     Arrival);
   }
-  const Duration Limit = Deadline - bootTime();
+  const Duration Limit = deadlineOf(S.Tx.Route, Arrival) - bootTime();
   Pool->reacquireSlot(Connection);
   Attempt Result =
       co_await runOnConnection(Connection, S, *Pool, St, Limit, std::nullopt);
   bool MayAcknowledge = !Connection.OnPrimary ||
                         Pool->mayAcknowledge(Connection.Epoch, bootTime());
   if (MayAcknowledge && needsConfirmation(Connection, *Pool, Result, Wrote))
-    MayAcknowledge = co_await confirm(Connection, *Pool, Deadline);
+    MayAcknowledge =
+        co_await confirm(Connection, *Pool, deadlineOf(S.Tx.Route, Arrival));
   const NextAction Step = actionAfterCommit(Result, MayAcknowledge, Wrote);
   const bool Ended = Result && Result.value().State == TransactionState::None;
   const std::uint64_t LogEpoch = Pool->logEpoch();
--- a/src/pool/Placement.h
+++ b/src/pool/Placement.h
@@ -19,6 +19,8 @@
   std::string Organisation;
   /// Must be executed on the primary.
   bool NeedsPrimary = false;
+  /// Takes effect by itself, so that its caller is in doubt if it is cut off.
+  bool CommitsWrite = false;
   catalog::Consistency Reads = catalog::Consistency::Primary;
   Duration MaxStaleness{};
   /// Arrival time of the first byte of the statement or its transaction.
--- a/src/pool/ServicePool.h
+++ b/src/pool/ServicePool.h
@@ -3,6 +3,7 @@
 
 #include "admission/AdmissionQueue.h"
 #include "admission/RetryBudget.h"
+#include "admission/StartForecast.h"
 #include "borageridge/Failure.h"
 #include "borageridge/Types.h"
 #include "catalog/Catalog.h"
@@ -19,6 +20,7 @@
 #include "runtime/SharedCheck.h"
 #include "telemetry/Log.h"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -47,6 +49,14 @@
   Duration LeavingPrimaryLimit = std::chrono::milliseconds(5000);
 };
 
+/// When the waits of statements end in a planned stop.
+struct AnswerLimits {
+  /// Statements that no member runs are answered by then.
+  Time LatestAnswer = Time::max();
+  /// The replies of members are awaited until then.
+  Time LatestReply = Time::max();
+};
+
 /// A connection checked out for one statement or transaction.
 struct Checkout {
   Connection Link;
@@ -60,7 +70,7 @@
 };
 
 /// Why no connection could be acquired.
-enum class AcquireFailure { TimedOut, QueueFull, NoPrimary };
+enum class AcquireFailure { TimedOut, QueueFull, NoPrimary, Stopping };
 std::string_view name(AcquireFailure Why);
 
 /// Pool of one daemon's connections to the members of one service, with the
@@ -125,7 +135,8 @@
   }
 
   /// Waits for a connection: until QueueDeadline if the usable members are
-  /// busy, until Deadline if no member is usable.
+  /// busy, until Deadline if no member is usable; in a planned stop only as
+  /// long as an answer can be expected in time.
   runtime::Task<Expected<Checkout, AcquireFailure>>
   acquire(PlacementRequest D, std::string_view Database, std::uint32_t Priority,
           Time QueueDeadline, Time Deadline);
@@ -157,6 +168,20 @@
   void noteStatement(Time Now) { Repetitions.addRequest(Now); }
   bool mayRepeat(Time Now) { return Repetitions.tryRetry(Now); }
 
+  // A planned stop.
+  /// Limits the waits of all statements, also of those that wait already.
+  /// Statements that cannot be answered in time are refused.
+  void setAnswerLimits(const AnswerLimits &Limits);
+  /// Whether a statement that starts now cannot be expected to be answered in
+  /// time.
+  bool isTooLate(std::string_view Database, bool CommitsWrite, Time Now) const;
+  /// Ends the waits of statements for a connection and for a confirmation. To
+  /// be called from the latest answer on.
+  void endWaits();
+  /// Ends the waits of statements for the replies of members. To be called from
+  /// the latest reply on.
+  void endCalls();
+
   /// Ends the use of the primary before a primary change: waits up to Limit for
   /// the statements in flight, then aborts them. Afterwards nothing of the
   /// epoch is acknowledged.
@@ -272,6 +297,17 @@
   void recordReply(MemberState &M, const statement::Reply &Answer, Time SentAt,
                    std::uint64_t Epoch, Time Now);
   void wakeWaiters(Time Now);
+  runtime::Task<void> waitForConnection(Waiter &Self, admission::TicketId Id,
+                                        Time Until);
+  /// Time from the assignment of a connection to the answer.
+  Duration expectedTime(std::string_view Database, bool CommitsWrite) const;
+  /// Time until which a statement may be assigned a connection.
+  Time latestStart(Duration ExpectedTime, bool CommitsWrite) const;
+  void withdraw(const std::vector<admission::Ticket> &Tickets,
+                AcquireFailure Why);
+  /// Withdraws statements that cannot start before the process ends.
+  void withdrawHopeless(Time Now);
+  bool worksOnLane(std::uint32_t Lane, Time Now) const;
   void closePrimaryConnections();
   void logEndOfUse(Time Now);
   runtime::Task<std::optional<bool>> askContenders();
@@ -312,6 +348,11 @@
   /// Number of Waiters by organisation.
   std::map<std::string, std::size_t, std::less<>> WaitersOf;
   admission::TicketId LastTicket = 0;
+  AnswerLimits StopLimits;
+  /// Number of statements that waited and were assigned a connection, by lane.
+  std::array<std::uint64_t, admission::AdmissionQueue::Lanes> Started{};
+  std::array<admission::StartForecast, admission::AdmissionQueue::Lanes>
+      Forecasts;
   bool WakingWaiters = false;
   bool IsConnectionHolder = true;
   std::size_t HolderCount = 1;
--- a/src/pool/ServicePoolQueue.cpp
+++ b/src/pool/ServicePoolQueue.cpp
@@ -2,6 +2,7 @@
 
 #include "runtime/Clock.h"
 
+#include <algorithm>
 #include <utility>
 
 // The statements that wait for a connection.
@@ -30,6 +31,8 @@
     return "too many statements wait";
   case AcquireFailure::NoPrimary:
     return "no primary in time";
+  case AcquireFailure::Stopping:
+    return "the proxy is stopping";
   }
   return "unknown";
 }
@@ -38,8 +41,11 @@
   Waiter(runtime::asio::io_context &Io, PlacementRequest Wanted)
       : D(std::move(Wanted)), Ready(Io) {}
   PlacementRequest D;
+  Duration ExpectedTime{};
   runtime::Event Ready;
   std::optional<Checkout> Assigned;
+  /// Why it was taken out of the queue.
+  std::optional<AcquireFailure> Withdrawn;
 };
 
 Task<Expected<Checkout, AcquireFailure>>
@@ -47,10 +53,14 @@
                      std::uint32_t Priority, Time QueueDeadline,
                      Time Deadline) {
   const Time Now = bootTime();
+  if (isTooLate(Database, D.CommitsWrite, Now))
+    co_return AcquireFailure::Stopping;
+  QueueDeadline = std::min(QueueDeadline, Deadline);
   if (Queue.size() == 0)
     if (std::optional<Checkout> Free = tryPlace(D, Now))
       co_return std::move(*Free);
   Waiter Self(Shared.Io, std::move(D));
+  Self.ExpectedTime = expectedTime(Database, Self.D.CommitsWrite);
   admission::Ticket Ticket;
   Ticket.Id = ++LastTicket;
   Ticket.Caller = std::string(Database);
@@ -76,33 +86,44 @@
         : AcquireFailure::QueueFull;
   Waiters.emplace(Id, &Self);
   ++WaitersOf[Self.D.Organisation];
-  for (const admission::Ticket &Out : Admitted.value().Displaced)
-    if (const auto Found = Waiters.find(Out.Id); Found != Waiters.end())
-      Found->second->Ready.notify();
+  withdraw(Admitted.value().Displaced, AcquireFailure::QueueFull);
   wakeWaiters(Now);
-  if (!Self.Assigned)
-    co_await Self.Ready.wait(QueueDeadline - Now);
+  co_await waitForConnection(Self, Id, QueueDeadline);
   // A statement that is late because all members are busy is rejected in favor
   // of statements that can still meet their deadline. Without a usable member
   // it continues to wait for one to return.
-  if (!Self.Assigned && !hasUsableMember(Self.D, bootTime()) &&
-      Queue.contains(Id))
-    co_await Self.Ready.wait(Deadline - bootTime());
+  if (!Self.Assigned && !hasUsableMember(Self.D, bootTime()))
+    co_await waitForConnection(Self, Id, Deadline);
   Waiters.erase(Id);
   if (--WaitersOf[Self.D.Organisation] == 0)
     WaitersOf.erase(Self.D.Organisation);
   Queue.remove(Id);
   if (Self.Assigned)
     co_return std::move(*Self.Assigned);
+  if (Self.Withdrawn)
+    co_return *Self.Withdrawn;
   const Time Later = bootTime();
-  if (Later < QueueDeadline)
-    co_return AcquireFailure::QueueFull;
+  if (Later >= latestStart(Self.ExpectedTime, Self.D.CommitsWrite))
+    co_return AcquireFailure::Stopping;
   // Reads may also run on the primary, so an unusable primary is the cause for
   // them too.
   co_return mayUsePrimary(Later) ? AcquireFailure::TimedOut
                                  : AcquireFailure::NoPrimary;
 }
 
+// Woken also when a planned stop shortens the time.
+Task<void> ServicePool::waitForConnection(Waiter &Self, admission::TicketId Id,
+                                          Time Until) {
+  for (;;) {
+    const Time Now = bootTime();
+    const Time End =
+        std::min(Until, latestStart(Self.ExpectedTime, Self.D.CommitsWrite));
+    if (Self.Assigned || !Queue.contains(Id) || Now >= End)
+      co_return;
+    co_await Self.Ready.wait(End - Now);
+  }
+}
+
 bool ServicePool::hasUsableMember(const PlacementRequest &D, Time Now) const {
   for (const auto &[Id, M] : Members)
     if (isUsable(M, Now) && (isPrimary(M) || !D.NeedsPrimary))
@@ -125,6 +146,7 @@
   };
   while (std::optional<admission::Ticket> Next = Queue.popIf(CanRun, Now)) {
     Queue.finish(Next->Id);
+    ++Started[Next->Lane];
     Waiter *Owner = Waiters.at(Next->Id);
     Owner->Assigned = std::exchange(Free, std::nullopt);
     Owner->Ready.notify();
@@ -132,4 +154,21 @@
   WakingWaiters = false;
 }
 
+void ServicePool::setAnswerLimits(const AnswerLimits &Limits) {
+  StopLimits = Limits;
+  for (const auto &[Id, Waiting] : Waiters)
+    Waiting->Ready.notify();
+}
+
+void ServicePool::withdraw(const std::vector<admission::Ticket> &Tickets,
+                           AcquireFailure Why) {
+  for (const admission::Ticket &Out : Tickets) {
+    const auto Found = Waiters.find(Out.Id);
+    if (Found == Waiters.end())
+      continue;
+    Found->second->Withdrawn = Why;
+    Found->second->Ready.notify();
+  }
+}
+
 } // namespace borageridge::pool
--- a/src/pool/ServicePoolUpkeep.cpp
+++ b/src/pool/ServicePoolUpkeep.cpp
@@ -85,6 +85,7 @@
     }
   }
   wakeWaiters(Now);
+  withdrawHopeless(Now);
 }
 
 } // namespace borageridge::pool
--- a/src/runtime/SharedCheck.cpp
+++ b/src/runtime/SharedCheck.cpp
@@ -16,13 +16,19 @@
   co_return Self->Result;
 }
 
-Task<void> SharedCheck::runRounds() {
+void SharedCheck::endWaits() {
+  for (const auto &Each : Waiting)
+    Each->Done.notify();
+  for (const auto &Each : Served)
+    Each->Done.notify();
+}
 
+Task<void> SharedCheck::runRounds() {
   for (;;) {
     std::erase_if(Waiting, [](const auto &Each) { return Each->HasLeft; });
     if (Waiting.empty())
       break;
-    const auto Served = std::exchange(Waiting, {});
+    Served = std::exchange(Waiting, {});
     std::optional<bool> Result;
     try {
       Result = co_await RunRound();
@@ -34,9 +40,11 @@
         Each->Result = *Result;
         Each->Done.notify();
       }
+      Served.clear();
       continue;
     }
     Waiting.insert(Waiting.end(), Served.begin(), Served.end());
+    Served.clear();
     co_await sleepFor(Delay);
   }
   Running = false;
--- a/src/runtime/SharedCheck.h
+++ b/src/runtime/SharedCheck.h
@@ -32,6 +32,9 @@
   /// there is none within Limit.
   Task<bool> run(Duration Limit);
 
+  /// Ends all calls of run in progress, without a result.
+  void endWaits();
+
 private:
   struct Waiter {
     explicit Waiter(asio::io_context &Io) : Done(Io) {}
@@ -47,6 +50,8 @@
   Duration Delay;
   ErrorHandler OnError;
   std::vector<std::shared_ptr<Waiter>> Waiting;
+  /// Those that waited when the present round began.
+  std::vector<std::shared_ptr<Waiter>> Served;
   bool Running = false;
 };
 
