Tell callers of a transaction that a stop rolls it back before closing

Seen by callers: a transaction whose statement is answered later than 3.7 s after SIGTERM is closed within 50 ms, and a COMMIT that has arrived but is not read is cut, so that its caller is in doubt. Cause: the time of the close counted from the signal, not from the rollback, and neither looked at what had arrived. Change: each session is closed 0.7 s after its own rollback, and only while nothing has arrived. Tests: CallerConnectionTest::transactionWhoseNextStatementHasArrivedIsNotEnded needs the new interface. StopPlanTest checks the notice from the rollback, at 3.0 s as before and at 4.1 s; the function that counted from the signal is gone.

--- a/src/entry/CallerConnection.cpp
+++ b/src/entry/CallerConnection.cpp
@@ -72,13 +72,21 @@
 }
 
 // The holder rolls back the transaction of a closed session.
-void CallerConnection::abortTransaction() {
+void CallerConnection::abortTransaction(Time Now) {
+  if (AbortedAt)
+    return;
+  AbortedAt = Now;
   if (Holder)
     Holder->close();
   else
     S.StatementExecutor.abortWaitingTransaction(CallerSession);
 }
 
+bool CallerConnection::waitsInTransaction() const {
+  return AwaitingInput && isInTransaction() && Buffer.empty() &&
+         !hasUnreadInput();
+}
+
 void CallerConnection::endForwardedWait() {
   if (Holder && isWorking())
     Holder->close();
@@ -290,6 +298,8 @@
   else
     Answer = co_await S.StatementExecutor.execute(
         CallerSession, std::move(*Statement), Arrival);
+  if (!isInTransaction())
+    AbortedAt.reset();
   std::string Reply = platform::encodeReply(Answer);
   SessionBytes = statement::sizeOf(CallerSession.State);
   InWorkBytes = Reply.size();
--- a/src/entry/CallerConnection.h
+++ b/src/entry/CallerConnection.h
@@ -44,9 +44,13 @@
   /// Closes the connection if it is idle and the key of its caller has been
   /// revoked.
   void closeIfRevoked();
-  /// Rolls back the transaction, which waits for its caller. The next statement
-  /// is answered with that.
-  void abortTransaction();
+  /// Whether a transaction is open and nothing has arrived for it.
+  bool waitsInTransaction() const;
+  /// Rolls back the transaction, which waits for its caller, unless that has
+  /// been done. The next statement is answered with that.
+  void abortTransaction(Time Now);
+  /// When the open transaction was aborted; none if it was not.
+  std::optional<Time> abortedAt() const { return AbortedAt; }
   /// Ends the wait for the connection holder, if a forwarded statement is in
   /// work.
   void endForwardedWait();
@@ -93,6 +97,7 @@
   /// this daemon.
   pool::Connection Holder;
   statement::TransactionState HolderState = statement::TransactionState::None;
+  std::optional<Time> AbortedAt;
   std::string Buffer;
   Session CallerSession;
   bool AwaitingInput = false;
--- a/src/entry/CallerConnectionTest.cpp
+++ b/src/entry/CallerConnectionTest.cpp
@@ -41,6 +41,7 @@
   CPPUNIT_TEST(callerOfAnAbortedForwardedTransactionIsTold);
   CPPUNIT_TEST(forwardedStatementIsAnsweredBeforeAStopEnds);
   CPPUNIT_TEST(forwardedStatementInWorkIsAnsweredWhenAStopEndsItsWait);
+  CPPUNIT_TEST(transactionWhoseNextStatementHasArrivedIsNotEnded);
   CPPUNIT_TEST(callerRefusedInAStopConnectsAgain);
   CPPUNIT_TEST_SUITE_END();
 
@@ -248,7 +249,7 @@
   void callerOfAnAbortedTransactionIsTold() {
     connectLocally();
     ask("QUERY q1 BEGIN\r\n");
-    Subject->abortTransaction();
+    Subject->abortTransaction(runtime::bootTime());
     const std::string Answer = ask("QUERY q2 WRITE 1 x\r\n");
     CPPUNIT_ASSERT(Answer.starts_with("ERROR ABORTED"));
     CPPUNIT_ASSERT(Answer.find("READY E") != std::string::npos);
@@ -260,7 +261,7 @@
   void callerOfAnAbortedForwardedTransactionIsTold() {
     Holder.Answer = [](const std::string &) { return SuccessInTransaction; };
     ask("QUERY q1 BEGIN\r\n");
-    Subject->abortTransaction();
+    Subject->abortTransaction(runtime::bootTime());
     CPPUNIT_ASSERT_EQUAL(std::string(), received());
     CPPUNIT_ASSERT(ask("QUERY q2 COMMIT\r\n").starts_with("ERROR ABORTED"));
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), Holder.count("COMMIT"));
@@ -283,6 +284,17 @@
     CPPUNIT_ASSERT(received().starts_with("ERROR INDOUBT"));
   }
 
+  // Guards against a close or an abort that crosses a commit, whose caller is
+  // then in doubt.
+  void transactionWhoseNextStatementHasArrivedIsNotEnded() {
+    connectLocally();
+    ask("QUERY q1 BEGIN\r\n");
+    CPPUNIT_ASSERT(Subject->waitsInTransaction());
+    runtime::asio::write(
+        Caller, runtime::asio::buffer(std::string("QUERY q2 COMMIT\r\n")));
+    CPPUNIT_ASSERT(!Subject->waitsInTransaction());
+  }
+
   // Guards against a caller that is refused again and again by a daemon that
   // cannot serve it any more.
   void callerRefusedInAStopConnectsAgain() {
--- a/src/entry/Daemon.cpp
+++ b/src/entry/Daemon.cpp
@@ -298,14 +298,15 @@
 void Daemon::closeCallers(const StopPlan &Plan, Time Now) {
   const CallerSet Open = *Callers;
   for (const auto &Caller : Open) {
-    const bool WaitsInTransaction =
-        Caller->isInTransaction() && !Caller->isWorking();
     const bool HasBeenIdle =
         Caller->isIdle() && Caller->waited(Now) >= MinIdleTime;
-    if (HasBeenIdle || (WaitsInTransaction && Plan.closesTransactions(Now)))
+    const bool Waits = Caller->waitsInTransaction();
+    const std::optional<Time> AbortedAt = Caller->abortedAt();
+    if (HasBeenIdle ||
+        (Waits && AbortedAt && StopPlan::closesTransaction(*AbortedAt, Now)))
       Caller->close();
-    else if (WaitsInTransaction && Plan.abortsTransactions(Now))
-      Caller->abortTransaction();
+    else if (Waits && Plan.abortsTransactions(Now))
+      Caller->abortTransaction(Now);
   }
 }
 
--- a/src/entry/StopPlan.cpp
+++ b/src/entry/StopPlan.cpp
@@ -59,8 +59,8 @@
   return hasPassed(Now, (Limit + EndReserve) / 2);
 }
 
-bool StopPlan::closesTransactions(Time Now) const {
-  return hasPassed(Now, (Limit + EndReserve) / 2 + AbortNoticeTime);
+bool StopPlan::closesTransaction(Time AbortedAt, Time Now) {
+  return Now - AbortedAt >= AbortNoticeTime;
 }
 
 Time StopPlan::latestAnswer() const {
--- a/src/entry/StopPlan.h
+++ b/src/entry/StopPlan.h
@@ -42,8 +42,9 @@
   /// Their sessions stay open for a while, so that a statement under way is
   /// answered.
   bool abortsTransactions(Time Now) const;
-  /// Whether sessions in a transaction that wait for their caller are closed.
-  bool closesTransactions(Time Now) const;
+  /// Whether a session is closed whose transaction was aborted at AbortedAt and
+  /// that still waits for its caller.
+  static bool closesTransaction(Time AbortedAt, Time Now);
   /// Time by which each statement that no member runs must be answered, so that
   /// none waits when the process ends.
   Time latestAnswer() const;
--- a/src/entry/StopPlanTest.cpp
+++ b/src/entry/StopPlanTest.cpp
@@ -71,8 +71,13 @@
   }
 
   void callersOfAbortedTransactionsHaveTimeForTheirNextStatement() {
-    CPPUNIT_ASSERT(!Subject.closesTransactions(Start + milliseconds(3650)));
-    CPPUNIT_ASSERT(Subject.closesTransactions(Start + milliseconds(3750)));
+    for (const int AbortedMs : {3000, 4100}) {
+      const Time AbortedAt = Start + milliseconds(AbortedMs);
+      CPPUNIT_ASSERT(!StopPlan::closesTransaction(
+          AbortedAt, AbortedAt + milliseconds(650)));
+      CPPUNIT_ASSERT(StopPlan::closesTransaction(
+          AbortedAt, AbortedAt + milliseconds(750)));
+    }
   }
 
   // Guards against statements that are in work when the process ends.
