--- a/review/support-3/Cases.cc
+++ b/review/support-3/Cases.cc
@@ -240,6 +240,60 @@
   return Late == 0 ? 0 : 1;
 }
 
+// All members of a service are draining, and the reads of the store that may be
+// old are some seconds behind.
+int drainOldReads(Scene &S) {
+  Group::Options Options;
+  Options.Service = "ledger1x";
+  Options.WorkMs = 25;
+  if (!S.begin(Options, 3,
+               json::array({routeFor("orders1", "primary", "ledger1x")}), 32))
+    return 2;
+  Group &G = *S.Members;
+  if (S.Trouble)
+    S.Registry.StaleMs = 3000;
+  const auto Never = Clock::time_point::max();
+  std::atomic<Clock::time_point> DrainEnd{Never};
+  std::atomic<int> Late{0};
+  std::atomic<bool> Stop{false};
+  G.OnStatement = [&](int Member, const std::string &Text) {
+    // Statements on their way at that moment don't count.
+    if (Clock::now() - Ms(200) <= DrainEnd.load())
+      return;
+    ++Late;
+    S.Log.write("LATE " + Text + " reached " + G.id(Member) +
+                " later than drain_ms");
+  };
+  std::vector<std::thread> Callers;
+  for (int N = 0; N < 3; ++N)
+    Callers.emplace_back([&, N] {
+      Client C(S.Log, "caller" + std::to_string(N));
+      while (!Stop) {
+        if (C.isOpen() || C.start(S.Daemons[std::size_t(N)], "orders1"))
+          C.ask("WRITE k" + std::to_string(N) + " x");
+        pause(30);
+      }
+    });
+  pause(8000);
+  for (int M = 0; M < 3; ++M) {
+    G.setLeaving(M, true);
+    S.Log.write("draining: " + G.id(M));
+  }
+  const auto Acknowledged = Clock::now();
+  DrainEnd = Acknowledged + Ms(7000);
+  // Members continue for drain_ms and a little longer, and then exit.
+  std::this_thread::sleep_until(Acknowledged + Ms(8500));
+  for (int M = 0; M < 3; ++M)
+    G.exit(M);
+  S.Log.write("members have exited");
+  pause(1500);
+  Stop = true;
+  for (std::thread &T : Callers)
+    T.join();
+  S.Log.write("late " + std::to_string(int(Late)));
+  return Late == 0 ? 0 : 1;
+}
+
 // A replica is lost for good, the primary is dark for a moment and comes back
 // with its log, and then all daemons are killed and start again.
 int primaryBack(Scene &S) {
@@ -324,7 +378,8 @@
   return {{"sync-replica", syncReplica},
           {"lost-replica", lostReplica},
           {"drain-restart", drainRestart},
-          {"primary-back", primaryBack}};
+          {"primary-back", primaryBack},
+          {"drain-old-reads", drainOldReads}};
 }
 
 } // namespace review3
--- a/review/support-3/Platform.cc
+++ b/review/support-3/Platform.cc
@@ -71,12 +71,12 @@
   Known.Value = Value;
   Known.Revision = At;
   Known.Lease = Lease;
-  History.push_back({Key, At, Known});
+  History.push_back({Key, At, Known, Clock::now()});
 }
 
 void Store::removeLocked(const std::string &Key, std::uint64_t At) {
   if (Items.erase(Key) != 0)
-    History.push_back({Key, At, std::nullopt});
+    History.push_back({Key, At, std::nullopt, Clock::now()});
 }
 
 void Store::endLeaseLocked(std::uint64_t Id) {
@@ -135,15 +135,34 @@
   return Result;
 }
 
+std::pair<std::map<std::string, Store::Item>, std::uint64_t>
+Store::stateAt(Clock::time_point When) const {
+  std::pair<std::map<std::string, Item>, std::uint64_t> Result;
+  Result.second = 100;
+  for (const Event &E : History) {
+    if (E.At > When)
+      break;
+    Result.second = E.Revision;
+    if (E.Written)
+      Result.first[E.Key] = *E.Written;
+    else
+      Result.first.erase(E.Key);
+  }
+  return Result;
+}
+
 HttpAnswer Store::range(const HttpCall &Call) {
   const std::lock_guard Guard(Lock);
   const std::string Prefix = textIn(Call, "prefix");
   const std::string After = textIn(Call, "after");
+  const bool MayBeOld = textIn(Call, "serializable") == "1" && StaleMs > 0;
+  const auto State = MayBeOld ? stateAt(Clock::now() - Ms(StaleMs))
+                              : std::pair(Items, Revision);
   HttpAnswer Result;
   Result.Body = {{"items", json::array()},
                  {"has_more", false},
-                 {"store_revision", Revision}};
-  for (const auto &[Key, Item] : Items)
+                 {"store_revision", State.second}};
+  for (const auto &[Key, Item] : State.first)
     if (Key.compare(0, Prefix.size(), Prefix) == 0 && Key > After)
       Result.Body["items"].push_back(itemJson(Key, Item));
   return Result;
--- a/review/support-3/Platform.hh
+++ b/review/support-3/Platform.hh
@@ -32,12 +32,15 @@
   std::vector<std::string> keys(const std::string &Prefix);
   /// While set, calls are neither answered nor executed.
   std::atomic<bool> Silent{false};
+  /// By how much reads that may be old are behind.
+  std::atomic<int> StaleMs{0};
 
 private:
   struct Event {
     std::string Key;
     std::uint64_t Revision = 0;
     std::optional<Item> Written;
+    Clock::time_point At = Clock::now();
   };
   struct Lease {
     Clock::time_point End;
@@ -49,6 +52,9 @@
   void removeLocked(const std::string &Key, std::uint64_t Revision);
   void endLeaseLocked(std::uint64_t Id);
   HttpAnswer range(const HttpCall &Call);
+  /// The items, and the revision, of an earlier time.
+  std::pair<std::map<std::string, Item>, std::uint64_t>
+  stateAt(Clock::time_point When) const;
   HttpAnswer watch(const HttpCall &Call);
   HttpAnswer transaction(const HttpCall &Call);
 
