--- a/review/support-3/Cases.cc
+++ b/review/support-3/Cases.cc
@@ -55,66 +55,6 @@
   std::map<std::string, std::string> Acknowledged;
 };
 
-// A planned replacement of two members while the third receives nothing for a
-// while, with one synchronous replica.
-int syncReplica(Scene &S) {
-  Group::Options Options;
-  Options.Service = "ledger1x";
-  Options.SyncReplicas = 1;
-  if (!S.begin(Options, 3,
-               json::array({routeFor("orders1", "primary", "ledger1x")}), 32))
-    return 2;
-  Group &G = *S.Members;
-  std::atomic<int> Promoted{-1};
-  std::vector<Entry> AtPromotion;
-  G.OnPromoted = [&](int Member) {
-    AtPromotion = G.log(Member);
-    Promoted = Member;
-  };
-  Writers W(S, "orders1");
-  W.start(3, 20);
-  pause(3000);
-  const int Primary = G.primary();
-  const int Deaf = (Primary + 1) % 3;
-  const int Leaving = (Primary + 2) % 3;
-  if (S.Trouble) {
-    S.Log.write("deaf for 5 s: " + G.id(Deaf));
-    G.setDeaf(Deaf, true);
-  }
-  const auto DeafUntil = Clock::now() + Ms(5000);
-  pause(1000);
-  S.Log.write("draining: " + G.id(Leaving));
-  G.setLeaving(Leaving, true);
-  pause(1000);
-  S.Log.write("draining: " + G.id(Primary));
-  G.setLeaving(Primary, true);
-  while (Clock::now() < DeafUntil + Ms(3000)) {
-    if (Clock::now() >= DeafUntil)
-      G.setDeaf(Deaf, false);
-    pause(20);
-  }
-  W.stop();
-  if (Promoted < 0) {
-    S.Log.write("no promotion");
-    return S.Trouble ? 0 : 2;
-  }
-  std::set<std::string> Held;
-  for (const Entry &E : AtPromotion)
-    Held.insert(E.Ids.begin(), E.Ids.end());
-  for (const Entry &E : G.log(Promoted))
-    Held.insert(E.Ids.begin(), E.Ids.end());
-  int Lost = 0;
-  for (const auto &[Id, Data] : W.acknowledged())
-    if (!Held.contains(Id)) {
-      ++Lost;
-      S.Log.write("LOST " + Id + " " + Data);
-    }
-  S.Log.write("acknowledged " + std::to_string(W.acknowledged().size()) +
-              ", lost " + std::to_string(Lost) + ", promoted " +
-              G.id(Promoted));
-  return Lost == 0 ? 0 : 1;
-}
-
 // One replica receives nothing, another is lost for good and then the primary
 // goes dark for a while, with one synchronous replica.
 int lostReplica(Scene &S) {
@@ -294,6 +234,77 @@
   return Late == 0 ? 0 : 1;
 }
 
+// The primary is lost, the platform is slow for a moment, and the replica that
+// is to take over goes dark for a while: its promotion takes effect after that
+// of another one.
+int latePromotion(Scene &S) {
+  constexpr int CallMs = 87;
+  constexpr int SlowFactor = 85;
+  constexpr int SlowMs = 4200;
+  constexpr int DarkAfterMs = 100;
+  constexpr int DarkMs = 7000;
+  Group::Options Options;
+  Options.Service = "ledger1x";
+  Options.PromoteMs = 200;
+  if (!S.begin(Options, 3,
+               json::array({routeFor("orders1", "primary", "ledger1x")}), 32))
+    return 2;
+  Group &G = *S.Members;
+  std::mutex Lock;
+  std::string First;
+  Clock::time_point SlowUntil;
+  S.OnCloudCall = [&](const HttpCall &Call) {
+    const std::string Id = json::parse(Call.Body).at("id");
+    bool IsSlow = false;
+    {
+      const std::lock_guard Guard(Lock);
+      if (First.empty()) {
+        First = Id;
+        SlowUntil = Clock::now() + Ms(SlowMs);
+        S.Log.write("the platform is slow");
+        std::thread([&S, &G, Id] {
+          pause(DarkAfterMs);
+          S.Log.write("dark: " + Id);
+          G.setDark(G.memberOf(Id), true);
+          pause(DarkMs);
+          S.Log.write("no longer dark: " + Id);
+          G.setDark(G.memberOf(Id), false);
+        }).detach();
+      }
+      IsSlow = Clock::now() < SlowUntil;
+    }
+    S.Log.write("call for " + Id + (IsSlow ? ", slow" : ""));
+    pause(IsSlow ? CallMs * SlowFactor : CallMs);
+    return G.promote(Call);
+  };
+  Writers W(S, "orders1");
+  W.start(6, 10);
+  pause(3000);
+  if (S.Trouble) {
+    S.Log.write("lost for good: " + G.id(0));
+    G.setDark(0, true);
+  }
+  pause(18000);
+  W.stop();
+  const auto Acknowledged = W.acknowledged();
+  std::set<std::string> Held;
+  for (const Entry &E : G.log(G.primary()))
+    Held.insert(E.Ids.begin(), E.Ids.end());
+  int Count = 0;
+  int Lost = 0;
+  for (const std::string &Id : G.supersededCommits())
+    if (Acknowledged.contains(Id)) {
+      ++Count;
+      Lost += Held.contains(Id) ? 0 : 1;
+      S.Log.write("ONE " + Id + " committed at the old primary after the " +
+                  "promotion took effect, and acknowledged");
+    }
+  S.Log.write("at the old primary " + std::to_string(Count) +
+              ", of these lost " + std::to_string(Lost) + ", acknowledged " +
+              std::to_string(Acknowledged.size()));
+  return Count == 0 ? 0 : 1;
+}
+
 // A replica is lost for good, the primary is dark for a moment and comes back
 // with its log, and then all daemons are killed and start again.
 int primaryBack(Scene &S) {
@@ -375,11 +386,11 @@
 } // namespace
 
 std::map<std::string, Case> cases() {
-  return {{"sync-replica", syncReplica},
+  return {{"late-promotion", latePromotion},
           {"lost-replica", lostReplica},
-          {"drain-restart", drainRestart},
           {"primary-back", primaryBack},
-          {"drain-old-reads", drainOldReads}};
+          {"drain-old-reads", drainOldReads},
+          {"drain-restart", drainRestart}};
 }
 
 } // namespace review3
--- a/review/support-3/Group.cc
+++ b/review/support-3/Group.cc
@@ -121,6 +121,18 @@
   Registry.remove("servers/" + States[Index]->Id);
 }
 
+std::vector<std::string> Group::supersededCommits() {
+  const std::lock_guard Guard(Lock);
+  return Superseded;
+}
+
+int Group::memberOf(const std::string &Id) const {
+  for (const auto &M : States)
+    if (M->Id == Id)
+      return M->Index;
+  return -1;
+}
+
 void Group::setDark(int Index, bool Dark) { States[Index]->Dark = Dark; }
 
 std::vector<Entry> Group::log(int Index) {
@@ -226,6 +238,9 @@
   const Entry Last = M.Log.back();
   const Entry Added{M.Term, Last.Number + 1, std::move(Writes), std::move(Ids)};
   M.Log.push_back(Added);
+  for (const auto &Other : States)
+    if (Other->Primary && Other->Term > M.Term)
+      Superseded.insert(Superseded.end(), Added.Ids.begin(), Added.Ids.end());
   const std::string At = positionOf(M.Log);
   // With synchronous replicas the commit is acknowledged once enough of them
   // have received it.
--- a/review/support-3/Group.hh
+++ b/review/support-3/Group.hh
@@ -46,6 +46,10 @@
   void exit(int Member);
   /// Number of statements of clients that arrived at any member.
   int statements() const { return Arrived; }
+  /// Ids of statements that a primary committed although another member led a
+  /// later term.
+  std::vector<std::string> supersededCommits();
+  int memberOf(const std::string &Id) const;
   std::vector<Entry> log(int Member);
   std::string position(int Member);
   /// A call for a promotion.
@@ -104,6 +108,7 @@
   std::mutex Lock;
   std::condition_variable Changed;
   std::vector<std::unique_ptr<Member>> States;
+  std::vector<std::string> Superseded;
   std::atomic<std::uint64_t> LastSignature{0};
   std::atomic<int> Arrived{0};
 };
