--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
 # Needs the build of the deploy file and review/build-3.sh. See claim.txt.
-exec "$(dirname "$0")/../support-3/run-case.sh" drain-old-reads "$(dirname "$0")"
+exec "$(dirname "$0")/../support-3/run-case.sh" primary-back "$(dirname "$0")"
--- a/review/support-3/Cases.cc
+++ b/review/support-3/Cases.cc
@@ -111,75 +111,6 @@
   return Lost == 0 ? 0 : 1;
 }
 
-// A daemon restarts while all members of a service are draining, before they
-// shut down.
-int drainRestart(Scene &S) {
-  Group::Options Options;
-  Options.Service = "ledger1x";
-  Options.WorkMs = 25;
-  if (!S.begin(Options, 3,
-               json::array({routeFor("orders1", "primary", "ledger1x")}), 32))
-    return 2;
-  Group &G = *S.Members;
-  const auto Never = Clock::time_point::max();
-  std::atomic<Clock::time_point> DrainEnd{Never};
-  std::atomic<Clock::time_point> InTouchFrom{Never};
-  std::mutex Lock;
-  std::map<std::string, Clock::time_point> SentAt;
-  std::atomic<int> Late{0};
-  std::atomic<bool> Stop{false};
-  std::thread Caller([&] {
-    Client C(S.Log, "caller");
-    while (!Stop) {
-      if (!C.isOpen() && !C.start(S.Daemons[0], "orders1")) {
-        pause(50);
-        continue;
-      }
-      const auto Now = Clock::now();
-      const int Before = G.statements();
-      const std::string Id = C.send("WRITE k1 x");
-      const Answer A = C.receive(3000);
-      const bool Ran = G.statements() != Before;
-      if (Ran && Now > DrainEnd.load() && Now > InTouchFrom.load()) {
-        ++Late;
-        S.Log.write("LATE " + Id + " reached a member later than drain_ms (" +
-                    A.Code + ")");
-      }
-      pause(30);
-    }
-  });
-  pause(2000);
-  for (int M = 0; M < 3; ++M) {
-    G.setLeaving(M, true);
-    S.Log.write("draining: " + G.id(M));
-  }
-  const auto Acknowledged = Clock::now();
-  DrainEnd = Acknowledged + Ms(7000);
-  pause(3000);
-  if (S.Trouble) {
-    S.signal(1, "KILL");
-    pause(300);
-    S.signal(1, "START");
-    const auto Started = Clock::now();
-    while (!isReady(S.Daemons[0]))
-      pause(20);
-    S.Log.write("daemon 1 is ready again");
-    InTouchFrom = Started + Ms(4000);
-  } else {
-    InTouchFrom = Clock::now();
-  }
-  // Members continue for drain_ms and a little longer, and then exit.
-  std::this_thread::sleep_until(Acknowledged + Ms(8500));
-  for (int M = 0; M < 3; ++M)
-    G.exit(M);
-  S.Log.write("members have exited");
-  pause(1500);
-  Stop = true;
-  Caller.join();
-  S.Log.write("late " + std::to_string(int(Late)));
-  return Late == 0 ? 0 : 1;
-}
-
 // All members of a service are draining, and the reads of the store that may be
 // old are some seconds behind.
 int drainOldReads(Scene &S) {
@@ -305,47 +236,89 @@
   return Count == 0 ? 0 : 1;
 }
 
-// A replica is lost for good, the primary is dark for a moment and comes back
-// with its log, and then all daemons are killed and start again.
-int primaryBack(Scene &S) {
-  Group::Options Options;
-  Options.Service = "ledger1x";
-  Options.Members = 2;
-  if (!S.begin(
-          Options, 3,
-          json::array({routeFor("orders1", "primary", "ledger1x"),
-                       routeFor("stock1", "bounded_staleness", "ledger1x")}),
-          32))
-    return 2;
-  Group &G = *S.Members;
+// Callers that read and write while a case prepares a state, and what is served
+// before and after the final fault.
+class RecoveryLoad {
+public:
+  explicit RecoveryLoad(Scene &Of) : S(Of) {
+    for (int N = 0; N < 6; ++N)
+      Callers.emplace_back([this, N] { call(N); });
+  }
+  /// Kills all daemons, starts them again, and counts what is sent later than
+  /// recovery_s after that.
+  int finish() {
+    Present = nullptr;
+    for (int D = 1; D <= 3; ++D)
+      S.signal(D, "KILL");
+    pause(1000);
+    for (int D = 1; D <= 3; ++D)
+      S.signal(D, "START");
+    const bool Ready = waitReady(S.Daemons, 20000);
+    S.Log.write("machines are back");
+    pause(12000);
+    S.Log.write("recovery_s has passed");
+    Present = &After;
+    pause(10000);
+    Stop = true;
+    for (std::thread &T : Callers)
+      T.join();
+    S.Log.write("before: served " + std::to_string(int(Before.Served)) +
+                " of " + std::to_string(int(Before.Sent)) + "; after: served " +
+                std::to_string(int(After.Served)) + " of " +
+                std::to_string(int(After.Sent)));
+    if (!Ready || 4 * Before.Served < Before.Sent)
+      return 2;
+    return 4 * After.Served < After.Sent ? 1 : 0;
+  }
+
+private:
   struct Count {
     std::atomic<int> Sent{0};
     std::atomic<int> Served{0};
   };
+
+  void call(int N) {
+    Client C(S.Log, "caller" + std::to_string(N));
+    for (int I = 0; !Stop; ++I) {
+      Count *Into = Present;
+      if (Into != nullptr)
+        ++Into->Sent;
+      if (C.isOpen() || C.start(S.Daemons[std::size_t(N) % 3],
+                                N < 3 ? "orders1" : "stock1")) {
+        const bool Writes = N < 3 && I % 2 == 0;
+        const Answer A = C.ask(Writes ? "WRITE k" + std::to_string(N) + " d" +
+                                            std::to_string(I)
+                                      : "READ k" + std::to_string(N));
+        if (A.Success && Into != nullptr)
+          ++Into->Served;
+      }
+      pause(50);
+    }
+  }
+
+  Scene &S;
   Count Before;
   Count After;
   std::atomic<bool> Stop{false};
   std::atomic<Count *> Present{&Before};
   std::vector<std::thread> Callers;
-  for (int N = 0; N < 6; ++N)
-    Callers.emplace_back([&, N] {
-      Client C(S.Log, "caller" + std::to_string(N));
-      for (int I = 0; !Stop; ++I) {
-        Count *Into = Present;
-        if (Into != nullptr)
-          ++Into->Sent;
-        if (C.isOpen() || C.start(S.Daemons[std::size_t(N) % 3],
-                                  N < 3 ? "orders1" : "stock1")) {
-          const bool Writes = N < 3 && I % 2 == 0;
-          const Answer A = C.ask(Writes ? "WRITE k" + std::to_string(N) + " d" +
-                                              std::to_string(I)
-                                        : "READ k" + std::to_string(N));
-          if (A.Success && Into != nullptr)
-            ++Into->Served;
-        }
-        pause(50);
-      }
-    });
+};
+
+json routesOfRecovery() {
+  return json::array({routeFor("orders1", "primary", "ledger1x"),
+                      routeFor("stock1", "bounded_staleness", "ledger1x")});
+}
+
+// A replica is lost for good, the primary is dark for a moment and comes back
+// with its log, and then all daemons are killed and start again.
+int primaryBack(Scene &S) {
+  Group::Options Options;
+  Options.Service = "ledger1x";
+  Options.Members = 2;
+  if (!S.begin(Options, 3, routesOfRecovery(), 32))
+    return 2;
+  Group &G = *S.Members;
+  RecoveryLoad Load(S);
   pause(3000);
   if (S.Trouble) {
     S.Log.write("lost for good: " + G.id(1));
@@ -358,29 +331,34 @@
     G.setDark(0, false);
     pause(1000);
   }
-  Present = nullptr;
-  for (int D = 1; D <= 3; ++D)
-    S.signal(D, "KILL");
-  pause(1000);
-  for (int D = 1; D <= 3; ++D)
-    S.signal(D, "START");
-  if (!waitReady(S.Daemons, 20000))
-    return 2;
-  S.Log.write("machines are back");
-  pause(12000);
-  S.Log.write("recovery_s has passed");
-  Present = &After;
-  pause(10000);
-  Stop = true;
-  for (std::thread &T : Callers)
-    T.join();
-  S.Log.write("before: served " + std::to_string(int(Before.Served)) + " of " +
-              std::to_string(int(Before.Sent)) + "; after: served " +
-              std::to_string(int(After.Served)) + " of " +
-              std::to_string(int(After.Sent)));
-  if (4 * Before.Served < Before.Sent)
+  return Load.finish();
+}
+
+// A replica is lost for good. Later the primary crashes and comes back with its
+// log, and then all daemons are killed and start again.
+int primaryReturns(Scene &S) {
+  Group::Options Options;
+  Options.Service = "ledger1x";
+  Options.Members = 2;
+  Options.HasSpare = true;
+  if (!S.begin(Options, 3, routesOfRecovery(), 32))
     return 2;
-  return 4 * After.Served < After.Sent ? 1 : 0;
+  Group &G = *S.Members;
+  RecoveryLoad Load(S);
+  pause(3000);
+  if (S.Trouble) {
+    S.Log.write("lost for good: " + G.id(1));
+    G.setDark(1, true);
+    pause(12000);
+    S.Log.write("crashed: " + G.id(0));
+    G.crash(0);
+    pause(1500);
+    G.comeBack(0);
+    S.Log.write("back with its log as " + G.id(2) + ", log at " +
+                G.position(2));
+    pause(5000);
+  }
+  return Load.finish();
 }
 
 } // namespace
@@ -388,9 +366,9 @@
 std::map<std::string, Case> cases() {
   return {{"late-promotion", latePromotion},
           {"lost-replica", lostReplica},
+          {"primary-returns", primaryReturns},
           {"primary-back", primaryBack},
-          {"drain-old-reads", drainOldReads},
-          {"drain-restart", drainRestart}};
+          {"drain-old-reads", drainOldReads}};
 }
 
 } // namespace review3
--- a/review/support-3/Group.cc
+++ b/review/support-3/Group.cc
@@ -38,11 +38,21 @@
     M->Born = Now;
     M->Log.push_back({3, 1, {}, {}});
     Member *At = M.get();
-    const int Port = listenOn(
-        Given.Ip, [this, At](std::shared_ptr<Conn> From) { serve(*At, From); });
+    const int Port = listenOn(Given.Ip, [this, At](std::shared_ptr<Conn> From) {
+      Member *Next = At->Next;
+      serve(Next == nullptr ? *At : *Next, From);
+    });
     M->Address = Given.Ip + ":" + std::to_string(Port);
     States.push_back(std::move(M));
   }
+  if (Given.HasSpare) {
+    auto M = std::make_unique<Member>();
+    M->Index = Given.Members;
+    M->Id = "i-" + Given.Service + "-" + std::to_string(M->Index + 1);
+    M->Ended = true;
+    M->Log.push_back({3, 1, {}, {}});
+    States.push_back(std::move(M));
+  }
   for (const auto &M : States) {
     Member *At = M.get();
     std::thread([this, At] {
@@ -62,7 +72,7 @@
   for (;;) {
     pause(100);
     for (const auto &M : States) {
-      if (!M->Dark)
+      if (!M->Dark && !M->Ended)
         M->SilentSince = Clock::now();
       const std::string Key = "servers/" + M->Id;
       if (Clock::now() - M->SilentSince > 3 * Ms(Given.HeartbeatMs) &&
@@ -121,6 +131,36 @@
   Registry.remove("servers/" + States[Index]->Id);
 }
 
+void Group::crash(int Index) {
+  const std::lock_guard Guard(Lock);
+  States[Index]->Ended = true;
+  for (const auto &Weak : States[Index]->Links)
+    if (const auto Link = Weak.lock())
+      Link->shut();
+  Changed.notify_all();
+}
+
+void Group::comeBack(int Index) {
+  Member &Old = *States[Index];
+  Member &New = *States.back();
+  {
+    const std::lock_guard Guard(Lock);
+    New.Address = Old.Address;
+    New.Log = Old.Log;
+    New.Term = Old.Term;
+    New.Primary = Old.Primary;
+    for (const auto &Other : States)
+      if (Other->Term > New.Term)
+        New.Primary = false;
+    New.Born = std::chrono::duration_cast<Ms>(
+                   std::chrono::system_clock::now().time_since_epoch())
+                   .count();
+    New.Ended = false;
+    Old.Next = &New;
+  }
+  beat(New);
+}
+
 std::vector<std::string> Group::supersededCommits() {
   const std::lock_guard Guard(Lock);
   return Superseded;
@@ -162,12 +202,13 @@
     const std::lock_guard Guard(Lock);
     Member *Leader = nullptr;
     for (const auto &M : States)
-      if (M->Primary && !M->Dark && (!Leader || M->Term > Leader->Term))
+      if (M->Primary && !M->Dark && !M->Ended &&
+          (!Leader || M->Term > Leader->Term))
         Leader = M.get();
     if (Leader == nullptr)
       continue;
     for (const auto &M : States) {
-      if (M.get() == Leader || M->Deaf || M->Dark || M->Primary)
+      if (M.get() == Leader || M->Deaf || M->Dark || M->Ended || M->Primary)
         continue;
       M->Term = Leader->Term;
       std::size_t Common = 0;
@@ -194,8 +235,12 @@
     return;
   const std::string Service = word(*Start);
   word(*Start);
-  if (M.Ended)
-    return;
+  {
+    const std::lock_guard Guard(Lock);
+    if (M.Ended)
+      return;
+    M.Links.push_back(From);
+  }
   if (Service != Given.Service || (!Start->empty() && *Start != M.Id)) {
     From->send(error("MISROUTED", M.Id));
     return;
@@ -376,7 +421,9 @@
   pause(CallDelayMs);
   const auto Found =
       std::find_if(States.begin(), States.end(),
-                   [&](const auto &M) { return M->Id == Id && !M->Dark; });
+                   [&](const auto &M) {
+                     return M->Id == Id && !M->Dark && !M->Ended;
+                   });
   if (Found == States.end() || Body.at("backend") != Given.Service) {
     HttpAnswer Refused;
     Refused.Status = 409;
--- a/review/support-3/Group.hh
+++ b/review/support-3/Group.hh
@@ -22,6 +22,8 @@
     std::string Service;
     std::string Ip;
     int Members = 3;
+    /// Whether a member that crashed may come back; see comeBack.
+    bool HasSpare = false;
     int Slots = 4;
     int SyncReplicas = 0;
     int WorkMs = 3;
@@ -44,6 +46,11 @@
   /// Ends the process of a member: its connections break off, and what it has
   /// in work is not done.
   void exit(int Member);
+  /// Ends the process of a member without notice.
+  void crash(int Member);
+  /// A member that crashed starts again with its log, at its address and under
+  /// a new id.
+  void comeBack(int Member);
   /// Number of statements of clients that arrived at any member.
   int statements() const { return Arrived; }
   /// Ids of statements that a primary committed although another member led a
@@ -73,6 +80,9 @@
     bool Deaf = false;
     std::atomic<bool> Dark{false};
     std::atomic<bool> Ended{false};
+    /// What runs at the address after a crash.
+    std::atomic<Member *> Next{nullptr};
+    std::vector<std::weak_ptr<Conn>> Links;
     Clock::time_point SilentSince = Clock::now();
     std::uint64_t Term = 3;
     std::uint64_t Sequence = 0;
