Lead a change of primary that finds nobody back to the recorded primary

A restart of all daemons did not help, since the state is in the store. Cause, the same for both: a change could end only with a leader of a newer term. That the primary of the record still leads its term was no result. Under its own id it was left out as the old primary; under a new one it was named as the candidate, and the call for it changes nothing. Change: a change that has named nobody leads back to the member that leads the term of the record, under whichever id (change/LeadBack). A term has one leader, so that member has the log. If another member may have taken over, the primary is promoted instead, so that its term ends that of the other. Also, on the same path: a primary that stepped down for a candidate that failed can be promoted; daemons without connections probe the members that they suspect; no change begins whose successors are all known not to answer.

--- a/src/change/ChangePolicy.cpp
+++ b/src/change/ChangePolicy.cpp
@@ -31,17 +31,27 @@
   return Found == Members.end() ? nullptr : &*Found;
 }
 
-bool hasSuccessor(std::span<const catalog::Member> Members,
-                  std::string_view Primary) {
-  return std::any_of(
-      Members.begin(), Members.end(),
-      [&](const catalog::Member &M) { return M.Id != Primary && !M.Leaving; });
+// A change stops the service, so none begins that would find nobody.
+bool hasSuccessor(const ServiceObservation &Known) {
+  return std::any_of(Known.Members.begin(), Known.Members.end(),
+                     [&](const catalog::Member &M) {
+                       return M.Id != Known.Record.Primary && !M.Leaving &&
+                              std::find(Known.Suspected.begin(),
+                                        Known.Suspected.end(),
+                                        M.Id) == Known.Suspected.end();
+                     });
 }
 
 bool hasLasted(std::optional<Time> Since, Duration Limit, Time Now) {
   return Since && Now - *Since >= Limit;
 }
 
+bool isOldPrimary(const MemberReport &Report, const CandidateRules &Rules) {
+  return Report.Member == Rules.OldPrimary ||
+         (Report.Primary && Rules.OldTerm != 0 &&
+          Report.CurrentTerm == Rules.OldTerm);
+}
+
 // While the old primary responds, every replica can still catch up with it, so
 // a replica that is not leaving is preferred regardless of its log.
 bool isBetterCandidate(const MemberReport &A, const MemberReport &B,
@@ -108,7 +118,7 @@
   if (!cluster::isOfEra(Known.Record.Epoch, Known.StoreEra))
     return Cause::Restored;
   const catalog::Member *Primary = find(Known.Members, Known.Record.Primary);
-  if (!hasSuccessor(Known.Members, Known.Record.Primary))
+  if (!hasSuccessor(Known))
     return Cause::None;
   if (isUnreachable(Known.Reports, Known.Record.Primary, Known.LiveDaemons))
     return Cause::Unreachable;
@@ -150,12 +160,12 @@
                 const CandidateRules &Rules) {
   const bool OldPrimaryReported =
       std::any_of(Reports.begin(), Reports.end(), [&](const MemberReport &R) {
-        return R.Member == Rules.OldPrimary;
+        return isOldPrimary(R, Rules);
       });
   std::size_t Reported = 0;
   const MemberReport *Best = nullptr;
   for (const MemberReport &Report : Reports) {
-    if (Report.Member == Rules.OldPrimary)
+    if (isOldPrimary(Report, Rules))
       continue;
     ++Reported;
     if (Best == nullptr ||
--- a/src/change/ChangePolicy.h
+++ b/src/change/ChangePolicy.h
@@ -59,6 +59,8 @@
 struct ServiceObservation {
   cluster::GroupRecord Record;
   std::span<const catalog::Member> Members;
+  /// Members that do not respond to the coordinator.
+  std::span<const std::string> Suspected = {};
   PrimaryReports Reports;
   std::size_t LiveDaemons = 1;
   keyvalue::Era StoreEra = keyvalue::FirstEra;
@@ -81,6 +83,8 @@
   bool Primary = false;
   Term CurrentTerm = 0;
   Position Received;
+  /// The incarnation that is registered for it.
+  std::int64_t Incarnation = 0;
 };
 
 /// Returns the member that leads a newer term than OldTerm as the result of the
@@ -101,6 +105,9 @@
   /// A member that did not take over when it was named; empty if none. Without
   /// synchronous replicas, any other is preferred.
   std::string Failed = {};
+  /// Term of the old primary, which it still leads if it is back under another
+  /// id; 0 if unknown.
+  Term OldTerm = 0;
 };
 
 /// Returns the member to promote, or none while more reports are needed.
--- a/src/change/ChangePolicyTest.cpp
+++ b/src/change/ChangePolicyTest.cpp
@@ -46,6 +46,7 @@
   CPPUNIT_TEST(aHealthyServiceNeedsNoChange);
   CPPUNIT_TEST(aLeavingPrimaryIsReplaced);
   CPPUNIT_TEST(withoutASuccessorThereIsNoChange);
+  CPPUNIT_TEST(aMemberThatDoesNotRespondIsNoSuccessor);
   CPPUNIT_TEST(aRestartedPrimaryCausesAChange);
   CPPUNIT_TEST(anInterruptedChangeIsResumed);
   CPPUNIT_TEST(aRecordFromBeforeARestoreIsConfirmedFirst);
@@ -61,6 +62,7 @@
   CPPUNIT_TEST(onlyTheCandidateIsTheNewLeader);
   CPPUNIT_TEST(theNewestTermLeadsIfNoCandidateIsKnown);
   CPPUNIT_TEST(anotherMemberIsPreferredToOneThatDidNotTakeOver);
+  CPPUNIT_TEST(aPrimaryWithANewIdIsNoCandidate);
   CPPUNIT_TEST_SUITE_END();
 
   std::vector<catalog::Member> Members = {member("a"), member("b"),
@@ -145,6 +147,16 @@
     CPPUNIT_ASSERT(changeCause(situation(), Now) == Cause::None);
   }
 
+  // Guards against a change that stops the service and finds nobody.
+  void aMemberThatDoesNotRespondIsNoSuccessor() {
+    const std::vector<std::string> Suspected = {"b", "c"};
+    Members[0].Leaving = true;
+    ServiceObservation Known = situation();
+    CPPUNIT_ASSERT(changeCause(Known, Now) == Cause::Leaving);
+    Known.Suspected = Suspected;
+    CPPUNIT_ASSERT(changeCause(Known, Now) == Cause::None);
+  }
+
   void aRestartedPrimaryCausesAChange() {
     Members[0].Incarnation = 2;
     CPPUNIT_ASSERT(changeCause(situation(), Now) == Cause::Restarted);
@@ -262,6 +274,18 @@
     CPPUNIT_ASSERT_EQUAL(std::string("b"), findNewLeader(Known, 1, "")->Member);
   }
 
+  // Guards against calls for the promotion of the present primary, which change
+  // nothing.
+  void aPrimaryWithANewIdIsNoCandidate() {
+    const std::vector<MemberReport> Known = {leader("a2", 3), report("c", 4)};
+    CandidateRules Rules = rules(0, milliseconds(300));
+    CPPUNIT_ASSERT_EQUAL(std::string("a2"),
+                         chooseCandidate(Known, Rules)->Member);
+    Rules.OldTerm = 3;
+    CPPUNIT_ASSERT_EQUAL(std::string("c"),
+                         chooseCandidate(Known, Rules)->Member);
+  }
+
   void anotherMemberIsPreferredToOneThatDidNotTakeOver() {
     const std::vector<MemberReport> Known = {report("b", 9), report("c", 5)};
     CandidateRules Rules;
--- a/src/entry/Coordinator.cpp
+++ b/src/entry/Coordinator.cpp
@@ -29,6 +29,9 @@
 constexpr Duration LeadCheckInterval = std::chrono::milliseconds(500);
 // Reports of peers that are older than this are ignored.
 constexpr Duration ReportLifetime = std::chrono::milliseconds(1200);
+// Pause after a change that led back to the primary. The evidence of all
+// daemons is renewed within it.
+constexpr Duration LeadBackPause = std::chrono::milliseconds(2000);
 // Shortest interval at which a peer is queried.
 constexpr Duration MinExchangeInterval = std::chrono::milliseconds(250);
 
@@ -81,6 +84,7 @@
 Task<void> Coordinator::run() {
   while (!S.Stopping || FencingToken != 0) {
     const Time Now = bootTime();
+    trackAbsences(Now);
     if (isActive(Now) &&
         S.Promoter.ModRevision != cluster::revisionOf(FencingToken))
       leaveRole("the entry of the active coordinator is gone");
@@ -186,6 +190,10 @@
                                    Time Now) {
   const GroupRecord &Record = Pool.record();
   const std::vector<catalog::Member> Members = Pool.members();
+  std::vector<std::string> Suspected;
+  for (const catalog::Member &M : Members)
+    if (Pool.isSuspected(M.Id, Now))
+      Suspected.push_back(M.Id);
   Reports.push_back({Record.Primary, Pool.evidence(Record.Primary, Now)});
   for (const auto &[Name, Other] : S.Peers) {
     const auto Seen = Other.LastReport.Primaries.find(Service);
@@ -196,6 +204,7 @@
   change::ServiceObservation Known;
   Known.Record = Record;
   Known.Members = Members;
+  Known.Suspected = Suspected;
   Known.Reports = Reports;
   Known.StoreEra = S.Store.era();
   // If only some daemons hold the connections of the service, only those can
@@ -231,6 +240,32 @@
   runtime::spawn(S.Io, Check(*this, Service));
 }
 
+// What made the change begin may still be seen, and the next one would find
+// nobody either.
+bool Coordinator::isPausedAfterLeadBack(const std::string &Service,
+                                        Cause Reason, Time Now) const {
+  const auto Last = LedBackAt.find(Service);
+  return Last != LedBackAt.end() && Now - Last->second < LeadBackPause &&
+         Reason != Cause::Interrupted && Reason != Cause::Restored &&
+         Reason != Cause::Settled;
+}
+
+// Runs in every daemon, so that a new coordinator need not wait anew.
+void Coordinator::trackAbsences(Time Now) {
+  const bool IsReachable = S.Store.isReachable(Now);
+  for (const auto &[Service, Pool] : S.ByService) {
+    const GroupRecord &Record = Pool->record();
+    std::vector<std::string> Contenders = Record.Unsettled;
+    if (!Record.Candidate.empty())
+      Contenders.push_back(Record.Candidate);
+    const auto IsRegistered = [this](const std::string &Member) {
+      return S.Members.contains(Member) && !S.RemovedMembers.contains(Member);
+    };
+    ContendersAbsent[Service].update(Contenders, IsRegistered, IsReachable,
+                                     Now);
+  }
+}
+
 void Coordinator::examinePrimaries(Time Now) {
   if (!isActive(Now) || S.Stopping)
     return;
@@ -240,7 +275,7 @@
     checkLead(Service, Now);
     std::vector<change::PrimaryReport> Reports;
     const Cause Reason = causeOf(Service, *Pool, Reports, Now);
-    if (Reason == Cause::None)
+    if (Reason == Cause::None || isPausedAfterLeadBack(Service, Reason, Now))
       continue;
     S.Log.write(event::ChangeStarted, Service, change::name(Reason),
                 change::confirmations(Reports, Pool->record().Primary),
--- a/src/entry/Coordinator.h
+++ b/src/entry/Coordinator.h
@@ -1,7 +1,9 @@
 #ifndef BORAGERIDGE_ENTRY_COORDINATOR_H
 #define BORAGERIDGE_ENTRY_COORDINATOR_H
 
+#include "change/AbsenceTracker.h"
 #include "change/ChangePolicy.h"
+#include "change/LeadBack.h"
 #include "change/ObservationTimer.h"
 #include "change/PromotionCalls.h"
 #include "cluster/LocalLease.h"
@@ -10,6 +12,7 @@
 #include "http/HttpClient.h"
 
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -64,10 +67,29 @@
   queryMembers(std::string Service);
   runtime::Task<std::optional<change::MemberReport>>
   queryMember(std::string Service, catalog::Member Info);
-  runtime::Task<std::optional<change::MemberReport>>
-  selectCandidate(std::string Service, std::string Old);
-  runtime::Task<bool> nameCandidate(std::string Service, std::string Old,
-                                    cluster::GroupRecord &Changing);
+  /// The change of a primary, as far as it matters for the choice of the next.
+  struct ChangeInProgress {
+    change::Cause Reason = change::Cause::None;
+    /// Whether another member was known to lead when the change began.
+    bool IsSuperseded = false;
+    cluster::GroupRecord Changing;
+  };
+  /// The member to promote, or the primary to which the change leads back.
+  struct Successor {
+    change::MemberReport Member;
+    bool LeadsBack = false;
+  };
+  runtime::Task<std::optional<Successor>>
+  findSuccessor(std::string Service, const ChangeInProgress &Change);
+  runtime::Task<std::optional<Successor>>
+  nameCandidate(std::string Service, ChangeInProgress &Change);
+  std::optional<change::LeadBack>
+  leadBack(const std::string &Service, const ChangeInProgress &Change,
+           std::span<const change::MemberReport> Reports, Duration Waited,
+           Time Now);
+  void trackAbsences(Time Now);
+  bool isPausedAfterLeadBack(const std::string &Service, change::Cause Reason,
+                             Time Now) const;
   runtime::Task<std::optional<change::MemberReport>>
   promoteCandidate(std::string Service, cluster::GroupRecord Changing,
                    Time CallFrom);
@@ -96,8 +118,9 @@
   runtime::Task<bool> confirmSettled(std::string Service);
   std::int64_t incarnationOf(const std::string &Member) const;
   runtime::Task<void> endLease(keyvalue::LeaseId Id, keyvalue::Era GrantedIn);
-  runtime::Task<void> stepDown(pool::ServicePool &Pool, std::string Service,
-                               cluster::GroupRecord Old);
+  /// Ends the lead of a member that leads no newer term than this.
+  runtime::Task<void> stepDown(std::string Service, std::string Member,
+                               Term Led);
   pool::ServicePool *findPool(const std::string &Service);
 
   State &S;
@@ -130,6 +153,11 @@
   /// when it has not been registered; by service.
   std::map<std::string, change::ObservationTimer> NotLeadingSince;
   std::map<std::string, change::ObservationTimer> AbsentSince;
+  /// Members whose promotion may still take effect and that are not
+  /// registered; by service.
+  std::map<std::string, change::AbsenceTracker<std::string>> ContendersAbsent;
+  /// When a change last led back to the primary of the record; by service.
+  std::map<std::string, Time> LedBackAt;
 };
 
 } // namespace borageridge::entry
--- a/src/entry/FakeMember.h
+++ b/src/entry/FakeMember.h
@@ -72,6 +72,8 @@
     return Text.find("BEGIN") != std::string::npos ? SuccessInTransaction
                                                    : Success;
   };
+  /// Answers nothing, also no start message.
+  bool IsSilent = false;
   /// The received requests, without the start messages of connections.
   std::vector<Request> Requests;
   /// Start messages, in the order of arrival.
@@ -100,7 +102,9 @@
       const std::string Text = Buffer.substr(0, Size - 2);
       Buffer.erase(0, Size);
       std::string Bytes = "READY I 1.5\r\n";
-      if (Text.starts_with("START")) {
+      if (IsSilent) {
+        Bytes.clear();
+      } else if (Text.starts_with("START")) {
         Starts.push_back(Text);
       } else {
         Requests.push_back({Number, Text});
--- a/src/entry/PrimaryChange.cpp
+++ b/src/entry/PrimaryChange.cpp
@@ -21,9 +21,6 @@
 // Longer than any daemon's lease lasts without renewal, so daemons that cannot
 // be reached have lost their lease by then.
 constexpr Duration RevocationTimeout = std::chrono::milliseconds(9000);
-constexpr Duration CandidateTimeout = std::chrono::milliseconds(4000);
-// A replica that receives the log lags only by the network latency.
-constexpr Duration CatchUpTimeout = std::chrono::milliseconds(600);
 constexpr Duration PollInterval = std::chrono::milliseconds(30);
 constexpr Duration PromoteCallTimeout = std::chrono::milliseconds(1000);
 // Time for a promotion to take effect before it is called for again. The
@@ -137,6 +134,7 @@
   Report.Primary = Status->Primary;
   Report.CurrentTerm = Status->CurrentTerm;
   Report.Received = Status->Received;
+  Report.Incarnation = Info.Incarnation;
   co_return Report;
 }
 
@@ -321,76 +319,6 @@
   co_return false;
 }
 
-Task<std::optional<MemberReport>>
-Coordinator::selectCandidate(std::string Service, std::string Old) {
-  const Time Start = bootTime();
-  change::CandidateRules Rules;
-  Rules.OldPrimary = Old;
-  if (const auto Failed = FailedCandidates.find(Service);
-      Failed != FailedCandidates.end())
-    Rules.Failed = Failed->second;
-  for (;;) {
-    pool::ServicePool *Pool = findPool(Service);
-    Rules.Replicas = 0;
-    for (const catalog::Member &M : Pool->members())
-      Rules.Replicas += M.Id == Old ? 0 : 1;
-    Rules.SyncReplicas = Pool->spec().SyncReplicas;
-    Rules.Waited = bootTime() - Start;
-    const std::vector<MemberReport> Reports = co_await queryMembers(Service);
-    const auto Best = chooseCandidate(Reports, Rules);
-    const auto OldReport =
-        std::find_if(Reports.begin(), Reports.end(),
-                     [&](const MemberReport &R) { return R.Member == Old; });
-    const bool CaughtUp = OldReport == Reports.end() ||
-                          (Best && Best->Received >= OldReport->Received) ||
-                          Rules.Waited > CatchUpTimeout;
-    if (Best && CaughtUp)
-      co_return Best;
-    if (bootTime() - Start > CandidateTimeout || !isActive(bootTime()))
-      co_return std::nullopt;
-    co_await runtime::sleepFor(PollInterval);
-  }
-}
-
-// The record names the member before the promotion is called for. A coordinator
-// that continues the change calls for the same member again, since the former
-// call may still take effect, unless the member cannot take over.
-Task<bool> Coordinator::nameCandidate(std::string Service, std::string Old,
-                                      GroupRecord &Changing) {
-  const auto Failed = FailedCandidates.find(Service);
-  const bool MayTakeOver =
-      !Changing.Candidate.empty() && (Failed == FailedCandidates.end() ||
-                                      Failed->second != Changing.Candidate);
-  if (MayTakeOver)
-    co_return true;
-  const Time Now = bootTime();
-  // A member that has taken over late already leads.
-  std::optional<MemberReport> Selected;
-  if (!Changing.Unsettled.empty())
-    Selected = change::findNewLeader(co_await queryMembers(Service),
-                                     Changing.PrimaryTerm, "");
-  if (!Selected)
-    Selected = co_await selectCandidate(Service, Old);
-  if (!Selected) {
-    S.Log.write(event::ChangeFailed, Service,
-                "no suitable replica found in time");
-    co_return false;
-  }
-  FailedCandidates.erase(Service);
-  if (Selected->Member == Changing.Candidate)
-    co_return true;
-  GroupRecord Named = Changing;
-  Named.Candidate = Selected->Member;
-  Named.Unsettled = callsFor(Service, Changing, Now).unsettled(Now);
-  if (!co_await writeRecord(Service, Named, Changing.Epoch))
-    co_return false;
-  Changing = Named;
-  applyRecord(S, Service, Changing);
-  S.Log.write(event::ChangeStep, Service, "candidate recorded",
-              Changing.Candidate);
-  co_return true;
-}
-
 change::PromotionCalls &
 Coordinator::callsFor(const std::string &Service,
                       const cluster::GroupRecord &Record, Time Now) {
@@ -480,6 +408,9 @@
       co_return std::nullopt;
     }
     if (IsDue) {
+      // A call for the present primary would change nothing.
+      if (Report && Report->Primary)
+        co_await stepDown(Service, Member, Changing.PrimaryTerm);
       Baseline = std::max(NewestTerms[Service], Changing.PrimaryTerm);
       const CallResult Result =
           co_await callForPromotion(Service, Member, Token);
@@ -503,20 +434,20 @@
   co_return std::nullopt;
 }
 
-Task<void> Coordinator::stepDown(pool::ServicePool &Pool, std::string Service,
-                                 GroupRecord Old) {
+Task<void> Coordinator::stepDown(std::string Service, std::string Member,
+                                 Term Led) {
   const Expected<statement::Reply, pool::CallFailure> Answer =
-      co_await Pool.callMember(Old.Primary,
-                               platform::encodeStepDown(Old.PrimaryTerm + 1),
-                               QueryTimeout);
+      co_await findPool(Service)->callMember(
+          Member, platform::encodeStepDown(Led + 1), QueryTimeout);
   S.Log.write(event::ChangeStep, Service, "step down",
-              Answer ? std::string_view(Old.Primary) : "no answer");
+              Answer ? std::string_view(Member) : "no answer");
 }
 
 Task<bool> Coordinator::changePrimary(std::string Service, Cause Reason) {
   pool::ServicePool *Pool = findPool(Service);
   const GroupRecord Old = Pool->record();
-  GroupRecord Changing = Old;
+  ChangeInProgress Change{Reason, Pool->isSuperseded(), Old};
+  GroupRecord &Changing = Change.Changing;
   Changing.Changing = true;
   change::PromotionCalls &Made = callsFor(Service, Old, bootTime());
   // A service that was set up anew begins with lower terms.
@@ -549,18 +480,25 @@
   } else {
     // No daemon uses the old primary any more. Stepping down keeps it from
     // appending entries that would diverge from the new primary's log.
-    if (!co_await nameCandidate(Service, Old.Primary, Changing))
+    const std::optional<Successor> Next =
+        co_await nameCandidate(Service, Change);
+    if (!Next)
       co_return false;
-    if (!Pool->isSuspected(Old.Primary, bootTime()))
-      co_await stepDown(*Pool, Service, Old);
-    // A promotion that a former coordinator may have called for gets the time
-    // to take effect first, so that the member does not begin two terms.
-    const bool MayBeUnderWay =
-        !Old.Candidate.empty() && Changing.Candidate == Old.Candidate &&
-        !Pool->isSuspected(Changing.Candidate, bootTime());
-    Leader = co_await promoteCandidate(
-        Service, Changing,
-        MayBeUnderWay ? ActiveSince + PromotionEffectTime : Time());
+    if (Next->LeadsBack) {
+      Leader = Next->Member;
+      LedBackAt[Service] = bootTime();
+    } else {
+      if (!Pool->isSuspected(Old.Primary, bootTime()))
+        co_await stepDown(Service, Old.Primary, Old.PrimaryTerm);
+      // A promotion that a former coordinator may have called for gets the time
+      // to take effect first, so that the member does not begin two terms.
+      const bool MayBeUnderWay =
+          !Old.Candidate.empty() && Changing.Candidate == Old.Candidate &&
+          !Pool->isSuspected(Changing.Candidate, bootTime());
+      Leader = co_await promoteCandidate(
+          Service, Changing,
+          MayBeUnderWay ? ActiveSince + PromotionEffectTime : Time());
+    }
   }
   if (!Leader) {
     S.Log.write(event::ChangeFailed, Service,
--- a/src/pool/ServicePoolUpkeep.cpp
+++ b/src/pool/ServicePoolUpkeep.cpp
@@ -79,7 +79,10 @@
     closeSurplus(M, Now);
     reportHealth(M, Now);
     const bool Quiet = Now - M.Health.lastReply() > ProbeInterval;
-    if (M.Registered && Quiet && !M.Probing && IsConnectionHolder) {
+    // A daemon without connections suspects a member only after a request of
+    // its own, which would be its last one.
+    const bool IsProbed = IsConnectionHolder || M.Health.isSuspected(Now);
+    if (M.Registered && Quiet && !M.Probing && IsProbed) {
       M.Probing = true;
       runtime::spawn(Shared.Io, probe(Id));
     }
