Keep in the record who may have received synchronous commits

A replica received nothing, the other one was lost, and the primary was dark for 7 s; as soon as the entry of the lost one expired, the first was promoted, a second before the primary was back. Cause: the number of replicas that must report before one is promoted was counted from the members registered at that moment. The commits had been acknowledged by those registered before. Change: the record lists the processes that may have received commits of the primary (receivers). Members that register are added. A replica is promoted if it has all that the old primary shows, or the longest log of enough receivers. With nobody to promote, the change leads back to the primary, as before this commit. Without synchronous replicas nothing is written or asked.

--- a/src/change/ChangePolicy.cpp
+++ b/src/change/ChangePolicy.cpp
@@ -17,9 +17,6 @@
 constexpr std::size_t MinConfirming = 2;
 // Allows for a registry that lags behind a promotion.
 constexpr Duration NotLeadingConfirmation = std::chrono::milliseconds(1500);
-// Entries that expired during a store outage are restored within two seconds
-// after its end.
-constexpr Duration GoneConfirmation = std::chrono::milliseconds(2500);
 // Maximum time to wait for missing reports once enough replicas have reported.
 constexpr Duration MissingReportTimeout = std::chrono::milliseconds(300);
 
@@ -88,6 +85,8 @@
     return "gone";
   case Cause::Settled:
     return "settled";
+  case Cause::Receivers:
+    return "receivers";
   }
   return "none";
 }
@@ -118,8 +117,11 @@
   if (!cluster::isOfEra(Known.Record.Epoch, Known.StoreEra))
     return Cause::Restored;
   const catalog::Member *Primary = find(Known.Members, Known.Record.Primary);
+  const Cause OfLists = Known.HasOtherReceivers ? Cause::Receivers
+                        : Known.HasSettled      ? Cause::Settled
+                                                : Cause::None;
   if (!hasSuccessor(Known))
-    return Cause::None;
+    return OfLists == Cause::Receivers ? OfLists : Cause::None;
   if (isUnreachable(Known.Reports, Known.Record.Primary, Known.LiveDaemons))
     return Cause::Unreachable;
   if (Known.IsSuperseded)
@@ -133,7 +135,7 @@
     return Cause::Restarted;
   if (hasLasted(Known.NotLeadingSince, NotLeadingConfirmation, Now))
     return Cause::NotLeading;
-  return Known.HasSettled ? Cause::Settled : Cause::None;
+  return OfLists;
 }
 
 // Only the member that was named last stays the leader: the promotions of
@@ -153,29 +155,36 @@
 }
 
 // An acknowledged commit is in the log of the old primary and of at least
-// SyncReplicas replicas. Any Replicas - SyncReplicas + 1 replicas therefore
-// include one that has it.
+// SyncReplicas receivers. Any Replicas - SyncReplicas + 1 of them therefore
+// include one that has it, as does any member that has all that the old primary
+// has.
 std::optional<MemberReport>
 chooseCandidate(std::span<const MemberReport> Reports,
                 const CandidateRules &Rules) {
-  const bool OldPrimaryReported =
-      std::any_of(Reports.begin(), Reports.end(), [&](const MemberReport &R) {
-        return isOldPrimary(R, Rules);
-      });
+  std::optional<Position> OldLog;
+  for (const MemberReport &Report : Reports)
+    if (isOldPrimary(Report, Rules))
+      OldLog = std::max(OldLog.value_or(Position()), Report.Received);
   std::size_t Reported = 0;
+  bool MayCatchUp = false;
   const MemberReport *Best = nullptr;
   for (const MemberReport &Report : Reports) {
     if (isOldPrimary(Report, Rules))
       continue;
     ++Reported;
+    if (Rules.SyncReplicas > 0 && OldLog && Report.Received < *OldLog) {
+      MayCatchUp = MayCatchUp || !Report.Leaving;
+      continue;
+    }
     if (Best == nullptr ||
-        isBetterCandidate(Report, *Best, Rules, OldPrimaryReported))
+        isBetterCandidate(Report, *Best, Rules, OldLog.has_value()))
       Best = &Report;
   }
-  if (Best == nullptr)
+  if (Best == nullptr ||
+      (Best->Leaving && MayCatchUp && Rules.Waited < CatchUpTimeout))
     return std::nullopt;
   const std::size_t Needed =
-      Rules.SyncReplicas == 0 || OldPrimaryReported
+      Rules.SyncReplicas == 0 || OldLog
           ? 1
           : Rules.Replicas - std::min(Rules.Replicas, Rules.SyncReplicas) + 1;
   const bool Complete = Reported >= Rules.Replicas;
--- a/src/change/ChangePolicy.h
+++ b/src/change/ChangePolicy.h
@@ -34,9 +34,15 @@
   Gone,
   /// Promotions that the record lists as unsettled cannot take effect any more.
   Settled,
+  /// Other members may receive synchronous commits than the record lists.
+  Receivers,
 };
 std::string_view name(Cause Why);
 
+/// Entries that expired during an outage of the registry are back within two
+/// seconds after its end; a member without one for this time counts as ended.
+constexpr Duration GoneConfirmation = std::chrono::milliseconds(2500);
+
 /// One daemon's observation of the member that it knows as the primary.
 struct PrimaryReport {
   std::string Member;
@@ -72,6 +78,8 @@
   bool IsSuperseded = false;
   /// Whether the record lists unsettled members that are settled.
   bool HasSettled = false;
+  /// Whether the record lists other receivers than there are.
+  bool HasOtherReceivers = false;
 };
 
 Cause changeCause(const ServiceObservation &Known, Time Now);
@@ -94,9 +102,14 @@
                                           Term OldTerm,
                                           std::string_view Candidate);
 
+/// Time for a replica to receive what the old primary has committed. One that
+/// receives the log lags only by the network latency.
+constexpr Duration CatchUpTimeout = std::chrono::milliseconds(600);
+
 struct CandidateRules {
   std::string OldPrimary;
-  /// Registered members other than the old primary.
+  /// Members other than the old primary: those registered, or with synchronous
+  /// replicas those that may have received commits.
   std::size_t Replicas = 0;
   /// Number of replicas that must receive a commit before it is acknowledged.
   std::size_t SyncReplicas = 0;
@@ -110,7 +123,8 @@
   Term OldTerm = 0;
 };
 
-/// Returns the member to promote, or none while more reports are needed.
+/// Returns the member to promote, or none while more reports are needed. With
+/// synchronous replicas, the member has every acknowledged commit.
 std::optional<MemberReport>
 chooseCandidate(std::span<const MemberReport> Reports,
                 const CandidateRules &Rules);
--- a/src/cluster/Records.cpp
+++ b/src/cluster/Records.cpp
@@ -27,6 +27,26 @@
   return Object.contains(Key) && Object[Key].is_string();
 }
 
+// Two lists of the same length, since records are flat.
+std::optional<std::vector<Receiver>> receiversOf(const json &Object) {
+  std::vector<Receiver> Result;
+  if (!Object.contains("receivers") && !Object.contains("receivers_born"))
+    return Result;
+  const json Members = Object.value("receivers", json());
+  const json Born = Object.value("receivers_born", json());
+  if (!Members.is_array() || !Born.is_array() || Members.size() != Born.size())
+    return std::nullopt;
+  for (std::size_t I = 0; I < Members.size(); ++I) {
+    if (!Members[I].is_string() || !Born[I].is_number_integer() ||
+        (Born[I].is_number_unsigned() &&
+         Born[I].get<std::uint64_t>() > static_cast<std::uint64_t>(MaxNumber)))
+      return std::nullopt;
+    Result.push_back(
+        {Members[I].get<std::string>(), Born[I].get<std::int64_t>()});
+  }
+  return Result;
+}
+
 bool isListOfStrings(const json &Value) {
   return Value.is_array() &&
          std::all_of(Value.begin(), Value.end(),
@@ -49,6 +69,16 @@
     Object["writer"] = Record.Writer;
     Object["writer_token"] = Record.WriterToken;
   }
+  if (!Record.Receivers.empty()) {
+    json Members = json::array();
+    json Born = json::array();
+    for (const Receiver &Each : Record.Receivers) {
+      Members.push_back(Each.Member);
+      Born.push_back(Each.Incarnation);
+    }
+    Object["receivers"] = std::move(Members);
+    Object["receivers_born"] = std::move(Born);
+  }
   return Object.dump();
 }
 
@@ -60,7 +90,8 @@
   const json &Object = *Decoded;
   const auto Term = integerIn(Object, "term", 0, MaxNumber);
   const auto Born = integerIn(Object, "born", MinNumber, MaxNumber);
-  if (!Term || !Born || !isString(Object, "primary") ||
+  std::optional<std::vector<Receiver>> Receivers = receiversOf(Object);
+  if (!Term || !Born || !Receivers || !isString(Object, "primary") ||
       !Object.contains("changing") || !Object["changing"].is_boolean() ||
       (Object.contains("era") && !Object["era"].is_number_unsigned()) ||
       (Object.contains("candidate") && !Object["candidate"].is_string()) ||
@@ -83,6 +114,7 @@
   Result.Unsettled = Object.value("unsettled", std::vector<std::string>());
   Result.Writer = Object.value("writer", std::string());
   Result.WriterToken = Object.value("writer_token", Epoch(0));
+  Result.Receivers = std::move(*Receivers);
   return Result;
 }
 
--- a/src/cluster/Records.h
+++ b/src/cluster/Records.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace borageridge::cluster {
@@ -20,6 +21,19 @@
 constexpr std::string_view PromoterKey = "borageridge/promoter";
 constexpr std::string_view CounterPrefix = "borageridge/counters/";
 
+/// A process of a member. One that starts again under the same id has another
+/// incarnation.
+struct Receiver {
+  std::string Member;
+  std::int64_t Incarnation = 0;
+
+  friend bool operator==(const Receiver &, const Receiver &) = default;
+  friend bool operator<(const Receiver &A, const Receiver &B) {
+    return std::tie(A.Member, A.Incarnation) <
+           std::tie(B.Member, B.Incarnation);
+  }
+};
+
 /// The primary of a service, as agreed through the key-value store.
 struct GroupRecord {
   /// The write of this record to the store. 0 if no record is known.
@@ -43,6 +57,11 @@
   /// only. Empty and 0 in records of earlier versions.
   std::string Writer = {};
   cluster::Epoch WriterToken = 0;
+  /// The processes that may have received commits of the primary which were
+  /// acknowledged once enough replicas had received them; see
+  /// docs/design/successor.md. Empty without synchronous replicas, and in
+  /// records of earlier versions.
+  std::vector<Receiver> Receivers = {};
 
   friend bool operator==(const GroupRecord &, const GroupRecord &) = default;
 };
--- a/src/cluster/RecordsTest.cpp
+++ b/src/cluster/RecordsTest.cpp
@@ -11,6 +11,7 @@
   CPPUNIT_TEST(theCandidateOfAChangeIsRestoredByDecoding);
   CPPUNIT_TEST(unsettledMembersOfARecordAreRestoredByDecoding);
   CPPUNIT_TEST(theWriterOfARecordIsRestoredByDecoding);
+  CPPUNIT_TEST(theReceiversOfARecordAreRestoredByDecoding);
   CPPUNIT_TEST(aDaemonRecordIsRestoredByDecoding);
   CPPUNIT_TEST(aDaemonRecordWithoutAProcessorShareHasTheDefault);
   CPPUNIT_TEST(epochOfAGroupRecordDoesNotChangeWhenTheStoreIsRestored);
@@ -58,6 +59,25 @@
                                12));
   }
 
+  // A list that cannot be read must not count as an empty one.
+  void theReceiversOfARecordAreRestoredByDecoding() {
+    GroupRecord Record{12, 3, "i-1", true, -5};
+    Record.Receivers = {{"i-2", 7}, {"i-2", -8}, {"i-3", 7}};
+    CPPUNIT_ASSERT(decodeGroup(encode(Record), 12).value() == Record);
+    for (const char *Lists :
+         {R"("receivers":["i-2"])", R"("receivers_born":[7])",
+          R"("receivers":["i-2"],"receivers_born":[])",
+          R"("receivers":[2],"receivers_born":[7])",
+          R"("receivers":["i-2"],"receivers_born":["7"])",
+          R"("receivers":["i-2"],"receivers_born":[18446744073709551615])",
+          R"("receivers":"i-2","receivers_born":7)"})
+      CPPUNIT_ASSERT_MESSAGE(
+          Lists, !decodeGroup(std::string(R"({"term":3,"primary":"a",)"
+                                          R"("changing":false,"born":0,)") +
+                                  Lists + "}",
+                              12));
+  }
+
   // A copy that is some seconds old holds a record with the revision that it
   // had, so it never counts as newer than the one that replaced it.
   void epochOfAGroupRecordDoesNotChangeWhenTheStoreIsRestored() {
--- a/src/entry/Coordinator.cpp
+++ b/src/entry/Coordinator.cpp
@@ -222,6 +222,7 @@
   Known.HasSettled =
       !Record.Unsettled.empty() &&
       callsFor(Service, Record, Now).unsettled(Now) != Record.Unsettled;
+  Known.HasOtherReceivers = hasOtherReceivers(Service, Now);
   return changeCause(Known, Now);
 }
 
@@ -247,7 +248,7 @@
   const auto Last = LedBackAt.find(Service);
   return Last != LedBackAt.end() && Now - Last->second < LeadBackPause &&
          Reason != Cause::Interrupted && Reason != Cause::Restored &&
-         Reason != Cause::Settled;
+         Reason != Cause::Settled && Reason != Cause::Receivers;
 }
 
 // Runs in every daemon, so that a new coordinator need not wait anew.
@@ -263,6 +264,10 @@
     };
     ContendersAbsent[Service].update(Contenders, IsRegistered, IsReachable,
                                      Now);
+    ReceiversAbsent[Service].update(
+        Record.Receivers,
+        [this](const cluster::Receiver &Each) { return isRegistered(Each); },
+        IsReachable, Now);
   }
 }
 
@@ -293,6 +298,8 @@
     Done = co_await createRecord(Service);
   } else if (Reason == Cause::Settled) {
     Done = co_await confirmSettled(Service);
+  } else if (Reason == Cause::Receivers) {
+    Done = co_await confirmReceivers(Service);
   } else {
     Done = co_await confirmRecord(Service, Reason);
     if (!Done)
--- a/src/entry/Coordinator.h
+++ b/src/entry/Coordinator.h
@@ -6,6 +6,7 @@
 #include "change/LeadBack.h"
 #include "change/ObservationTimer.h"
 #include "change/PromotionCalls.h"
+#include "change/Receivers.h"
 #include "cluster/LocalLease.h"
 #include "entry/Exchange.h"
 #include "entry/State.h"
@@ -79,6 +80,9 @@
     change::MemberReport Member;
     bool LeadsBack = false;
   };
+  runtime::Task<std::size_t>
+  countReceivers(std::string Service, cluster::GroupRecord Record,
+                 std::vector<change::MemberReport> Reports);
   runtime::Task<std::optional<Successor>>
   findSuccessor(std::string Service, const ChangeInProgress &Change);
   runtime::Task<std::optional<Successor>>
@@ -88,6 +92,20 @@
            std::span<const change::MemberReport> Reports, Duration Waited,
            Time Now);
   void trackAbsences(Time Now);
+  bool isRegistered(const cluster::Receiver &Process) const;
+  std::vector<change::EndedReceiver>
+  endedReceivers(const std::string &Service, const change::Receivers &Possible,
+                 Time Now);
+  /// Adds the members that are registered now.
+  void addReceivers(const std::string &Service, cluster::GroupRecord &Record);
+  bool hasOtherReceivers(const std::string &Service, Time Now);
+  /// Whether the newest entries of the registry name none of the processes.
+  runtime::Task<bool> areUnregistered(change::Receivers Processes);
+  runtime::Task<change::Receivers>
+  withoutEnded(std::string Service, change::Receivers Possible,
+               std::vector<change::EndedReceiver> Ended,
+               std::vector<change::MemberReport> Reports);
+  runtime::Task<bool> confirmReceivers(std::string Service);
   bool isPausedAfterLeadBack(const std::string &Service, change::Cause Reason,
                              Time Now) const;
   runtime::Task<std::optional<change::MemberReport>>
@@ -156,6 +174,15 @@
   /// Members whose promotion may still take effect and that are not
   /// registered; by service.
   std::map<std::string, change::AbsenceTracker<std::string>> ContendersAbsent;
+  /// Receivers of the record that are not registered; by service.
+  std::map<std::string, change::AbsenceTracker<cluster::Receiver>>
+      ReceiversAbsent;
+  struct ReceiverRetry {
+    Duration Pause{};
+    Time NotBefore;
+  };
+  /// The next attempt to leave out receivers that have ended; by service.
+  std::map<std::string, ReceiverRetry> ReceiverRetries;
   /// When a change last led back to the primary of the record; by service.
   std::map<std::string, Time> LedBackAt;
 };
--- a/src/entry/FakeService.h
+++ b/src/entry/FakeService.h
@@ -77,6 +77,7 @@
     M.CurrentTerm = Old.CurrentTerm;
     M.Primary = Old.Primary && leader() == &Old;
     Old.Ended = true;
+    Old.Received = Position();
     return M;
   }
 
@@ -136,6 +137,8 @@
   std::deque<Replica> Replicas;
   /// The newest write that was acknowledged.
   Position Acknowledged;
+  /// Whether a member was promoted that lacks it.
+  bool HasLostCommit = false;
   runtime::tcp::endpoint Promotions;
 
 private:
@@ -161,6 +164,7 @@
     Term Newest = 0;
     for (const Replica &Other : Replicas)
       Newest = std::max(Newest, Other.CurrentTerm);
+    HasLostCommit = HasLostCommit || M.Received < Acknowledged;
     M.CurrentTerm = Newest + 1;
     M.Primary = true;
     M.Deaf = false;
--- a/src/entry/PrimaryChange.cpp
+++ b/src/entry/PrimaryChange.cpp
@@ -188,6 +188,7 @@
   if (S.Store.era() != keyvalue::FirstEra)
     for (const catalog::Member &Info : findPool(Service)->members())
       Record.Unsettled.push_back(Info.Id);
+  addReceivers(Service, Record);
   if (!co_await writeRecord(Service, Record, 0))
     co_return false;
   applyRecord(S, Service, Record);
@@ -457,6 +458,7 @@
     for (const catalog::Member &Info : Pool->members())
       Made.addUnknown(Info.Id, bootTime());
   Changing.Unsettled = Made.unsettled(bootTime());
+  addReceivers(Service, Changing);
   if (!co_await writeRecord(Service, Changing, Old.Epoch))
     co_return false;
   if (!co_await revokeOldPrimary(Service, Changing)) {
@@ -510,6 +512,9 @@
   Record.PrimaryTerm = Leader->CurrentTerm;
   Record.PrimaryIncarnation = incarnationOf(Leader->Member);
   Record.Unsettled = Made.unsettled(bootTime());
+  if (Pool->spec().SyncReplicas > 0)
+    Record.Receivers =
+        change::receiversAfterChange(Changing, Pool->members(), *Leader);
   if (!co_await writeRecord(Service, Record, Changing.Epoch))
     co_return false;
   applyRecord(S, Service, Record);
--- a/src/entry/SuccessorSearch.cpp
+++ b/src/entry/SuccessorSearch.cpp
@@ -14,8 +14,6 @@
 using runtime::Task;
 
 constexpr Duration SearchTimeout = std::chrono::milliseconds(4000);
-// A replica that receives the log lags only by the network latency.
-constexpr Duration CatchUpTimeout = std::chrono::milliseconds(600);
 constexpr Duration PollInterval = std::chrono::milliseconds(30);
 // A member that was called for and then fell silent has no entry any more some
 // four seconds later. Failures from which a member returns with its role last
@@ -64,6 +62,24 @@
        .Waited = Waited});
 }
 
+// The number of members of which enough must report, so that one of them has
+// each acknowledged commit.
+Task<std::size_t>
+Coordinator::countReceivers(std::string Service, GroupRecord Record,
+                            std::vector<MemberReport> Reports) {
+  const pool::ServicePool &Pool = *findPool(Service);
+  change::Receivers Possible =
+      change::possibleReceivers(Record, Pool.members());
+  // The primary may be back under a new id.
+  if (const auto Primary =
+          change::findRecordedPrimary(Reports, Record, std::nullopt))
+    std::erase_if(Possible, [&](const cluster::Receiver &Each) {
+      return Each.Member == Primary->Member;
+    });
+  const auto Ended = endedReceivers(Service, Possible, bootTime());
+  co_return (co_await withoutEnded(Service, Possible, Ended, Reports)).size();
+}
+
 Task<std::optional<Coordinator::Successor>>
 Coordinator::findSuccessor(std::string Service,
                            const ChangeInProgress &Change) {
@@ -77,12 +93,22 @@
     Rules.Failed = Failed->second;
   for (;;) {
     pool::ServicePool *Pool = findPool(Service);
-    Rules.Replicas = 0;
-    for (const catalog::Member &M : Pool->members())
-      Rules.Replicas += M.Id == Record.Primary ? 0 : 1;
     Rules.SyncReplicas = Pool->spec().SyncReplicas;
     Rules.Waited = bootTime() - Start;
-    const std::vector<MemberReport> Reports = co_await queryMembers(Service);
+    std::vector<MemberReport> Reports = co_await queryMembers(Service);
+    if (Rules.SyncReplicas > 0) {
+      // A primary that has lost its log shows nothing.
+      std::erase_if(Reports, [&](const MemberReport &R) {
+        return R.Member == Record.Primary &&
+               R.Incarnation != Record.PrimaryIncarnation;
+      });
+      Rules.Replicas = co_await countReceivers(Service, Record, Reports);
+    } else {
+      const std::vector<catalog::Member> Members = Pool->members();
+      Rules.Replicas = static_cast<std::size_t>(std::count_if(
+          Members.begin(), Members.end(),
+          [&](const catalog::Member &M) { return M.Id != Record.Primary; }));
+    }
     const auto Back =
         leadBack(Service, Change, Reports, Rules.Waited, bootTime());
     if (Back && Back->Leads && Back->Member.Member != Record.Primary)
@@ -93,7 +119,7 @@
         [&](const MemberReport &R) { return R.Member == Record.Primary; });
     const bool CaughtUp = OldReport == Reports.end() ||
                           (Best && Best->Received >= OldReport->Received) ||
-                          Rules.Waited > CatchUpTimeout;
+                          Rules.Waited > change::CatchUpTimeout;
     if (Best && CaughtUp)
       co_return Successor{*Best, false};
     if (Back && !Best)
@@ -111,9 +137,15 @@
 Coordinator::nameCandidate(std::string Service, ChangeInProgress &Change) {
   GroupRecord &Changing = Change.Changing;
   const auto Failed = FailedCandidates.find(Service);
-  const bool MayTakeOver =
-      !Changing.Candidate.empty() && (Failed == FailedCandidates.end() ||
-                                      Failed->second != Changing.Candidate);
+  // A candidate that has started again has lost its log.
+  const auto Processes =
+      std::count_if(Changing.Receivers.begin(), Changing.Receivers.end(),
+                    [&](const cluster::Receiver &R) {
+                      return R.Member == Changing.Candidate;
+                    });
+  const bool MayTakeOver = !Changing.Candidate.empty() && Processes <= 1 &&
+                           (Failed == FailedCandidates.end() ||
+                            Failed->second != Changing.Candidate);
   if (MayTakeOver) {
     MemberReport Named;
     Named.Member = Changing.Candidate;
@@ -144,6 +176,7 @@
   GroupRecord Named = Changing;
   Named.Candidate = Found->Member.Member;
   Named.Unsettled = callsFor(Service, Changing, Now).unsettled(Now);
+  addReceivers(Service, Named);
   if (!co_await writeRecord(Service, Named, Changing.Epoch))
     co_return std::nullopt;
   Changing = Named;
--- a/src/entry/SuccessorSearchTest.cpp
+++ b/src/entry/SuccessorSearchTest.cpp
@@ -22,7 +22,13 @@
 constexpr Duration RestartTime = milliseconds(1000);
 
 enum class PrimaryFault { Dark, Cut, RestartsWithNewId, Gone };
-enum class ReplicaFault { None, Gone, Leaves, GoneAndAnotherJoins };
+enum class ReplicaFault {
+  None,
+  Gone,
+  Leaves,
+  GoneAndAnotherJoins,
+  GoneAndAnotherJoinsAndIsGone
+};
 enum class Meanwhile { Nothing, StoreRejects, DaemonRestarts };
 
 /// The order of events of one play. Times are from its start.
@@ -46,10 +52,10 @@
   std::string name() const {
     std::ostringstream Text;
     Text << "members " << Members << ", sync " << SyncReplicas << ", primary "
-         << int(Primary) << ", replica " << int(Replica) << ", meanwhile "
-         << int(Else) << " at " << ElseAt / milliseconds(1)
-         << " ms, loses candidate " << LosesCandidate << "/"
-         << CandidateDarkFor / seconds(1);
+         << int(Primary) << " at " << PrimaryAt / milliseconds(1)
+         << " ms, replica " << int(Replica) << ", meanwhile " << int(Else)
+         << " at " << ElseAt / milliseconds(1) << " ms, loses candidate "
+         << LosesCandidate << "/" << CandidateDarkFor / seconds(1);
     return Text.str();
   }
 };
@@ -121,13 +127,12 @@
     run(Process->Io);
     Process->Pool->tick(Now);
     write(Now);
-    check();
   }
 
   /// Empty if the play has kept all promises.
   std::string fault(Time Now) {
-    if (IsLost)
-      return "an acknowledged write is not in the log of the primary";
+    if (Service.HasLostCommit && Events.SyncReplicas > 0)
+      return "an acknowledged write is not in the log of the promoted member";
     if (TwoLead)
       return "a write was acknowledged at a superseded primary";
     const cluster::GroupRecord &Record = Process->Pool->record();
@@ -175,10 +180,14 @@
          if (Events.Replica == ReplicaFault::Leaves)
            Entries.erase(Lost.Id);
        });
+    const bool IsLostToo =
+        Events.Replica == ReplicaFault::GoneAndAnotherJoinsAndIsGone;
     at("joins",
-       Events.Replica == ReplicaFault::GoneAndAnotherJoins &&
-           T >= Events.ReplicaAt + milliseconds(300),
+       (IsLostToo || Events.Replica == ReplicaFault::GoneAndAnotherJoins) &&
+           T >= Events.ReplicaAt + milliseconds(200),
        [&] { Service.add("n"); });
+    at("joined is lost", IsLostToo && T >= Events.ReplicaAt + milliseconds(450),
+       [&] { Service.find("n").Ended = true; });
     at("hears", Events.HasDeafReplica && T >= Events.DeafUntil,
        [&] { Service.find("b").Deaf = false; });
     FakeService::Replica &Primary = Service.find("a");
@@ -287,14 +296,6 @@
                              Service.Acknowledged);
   }
 
-  void check() {
-    const cluster::GroupRecord &Record = Process->Pool->record();
-    if (Record.Epoch != 0 && !Record.Changing && Events.SyncReplicas > 0 &&
-        Service.has(Record.Primary))
-      IsLost = IsLost ||
-               Service.find(Record.Primary).Received < Service.Acknowledged;
-  }
-
   runtime::asio::io_context Io;
   Order Events;
   platform::FakeStore Store{Io};
@@ -307,7 +308,6 @@
   std::map<std::string, Time> SeenAt;
   std::optional<Duration> CandidateDarkAt;
   Time ServedAt;
-  bool IsLost = false;
   bool TwoLead = false;
 };
 
@@ -316,6 +316,8 @@
   CPPUNIT_TEST_SUITE(SuccessorSearchTest);
   CPPUNIT_TEST(leadsBackToThePrimaryIfNobodyElseIsLeft);
   CPPUNIT_TEST(promotesThePrimaryIfACandidateMayHaveTakenOver);
+  CPPUNIT_TEST(promotesNobodyWhoMayLackAnAcknowledgedCommit);
+  CPPUNIT_TEST(goesOnWithoutAReplicaThatWasLostLongBefore);
   CPPUNIT_TEST_SUITE_END();
 
   void playAll(const std::vector<Order> &Orders, Duration Length) {
@@ -342,7 +344,8 @@
                                        PrimaryFault::RestartsWithNewId})
       for (const ReplicaFault Replica :
            {ReplicaFault::Gone, ReplicaFault::Leaves,
-            ReplicaFault::GoneAndAnotherJoins})
+            ReplicaFault::GoneAndAnotherJoins,
+            ReplicaFault::GoneAndAnotherJoinsAndIsGone})
         for (const Meanwhile Else :
              {Meanwhile::Nothing, Meanwhile::StoreRejects,
               Meanwhile::DaemonRestarts}) {
@@ -391,6 +394,45 @@
       }
     playAll(Orders, seconds(20));
   }
+
+  // Guards against the promotion of a replica that lacks the commits of which
+  // only a lost one and the primary know, and against a service that then
+  // stands still although the primary is back.
+  void promotesNobodyWhoMayLackAnAcknowledgedCommit() {
+    Order Base;
+    Base.Members = 3;
+    Base.SyncReplicas = 1;
+    Base.HasDeafReplica = true;
+    Base.DeafUntil = milliseconds(6500);
+    Base.ReplicaAt = milliseconds(1500);
+    Base.PrimaryAt = milliseconds(2000);
+    Base.PrimaryFor = milliseconds(7000);
+    Base.ElseAt = milliseconds(3000);
+    playAll(variants(Base), milliseconds(16000));
+  }
+
+  // Guards against a service that stops because a replica is missing that holds
+  // nothing that the others lack.
+  void goesOnWithoutAReplicaThatWasLostLongBefore() {
+    Order Base;
+    Base.Members = 4;
+    Base.SyncReplicas = 1;
+    Base.Replica = ReplicaFault::Gone;
+    Base.ReplicaAt = milliseconds(1000);
+    Base.Primary = PrimaryFault::Gone;
+    std::vector<Order> Orders;
+    for (const int After : {8, 10, 12})
+      for (const int ElseAt : {0, 2, 3, 4, 5, 6})
+        for (const Meanwhile Else :
+             {Meanwhile::StoreRejects, Meanwhile::DaemonRestarts}) {
+          Order Each = Base;
+          Each.PrimaryAt = Base.ReplicaAt + seconds(After);
+          Each.Else = ElseAt == 0 ? Meanwhile::Nothing : Else;
+          Each.ElseAt = seconds(ElseAt);
+          Orders.push_back(Each);
+        }
+    playAll(Orders, seconds(21));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SuccessorSearchTest);
--- a/src/pool/ServicePool.h
+++ b/src/pool/ServicePool.h
@@ -228,6 +228,11 @@
   void stopBorrowing(std::string_view Member, Time Now);
   void setOthersInFlight(std::map<std::string, std::uint32_t> Sum);
   std::optional<freshness::PrimaryPositions::Sample> newestSample() const;
+  /// Returns a position that the primary's log reached at this time or later;
+  /// none if the primary has not been seen since.
+  std::optional<Position> positionAfter(Time From) const {
+    return Positions.covering(From);
+  }
   /// Adds a position that another daemon observed in the given log epoch.
   void addSample(std::uint64_t InLogEpoch, Time AsOf, Position At);
 
