--- a/tools/model.sh
+++ b/tools/model.sh
@@ -59,6 +59,16 @@
 check late_promotion fails SETTLE_ANY
 check late_promotion fails DROP_LIST
 check late_promotion fails FORGET_NAMED
+check successor holds ALL_FAULTS_OFF
+check successor fails REGISTERED_ONLY
+check successor fails FORGET_AT_RESTART
+check successor fails NO_JOIN
+check successor fails DROP_UNCHECKED
+check successor fails NEVER_DROP
+check successor fails IGNORE_PRIMARY
+check successor fails NO_LEAD_BACK
+check successor fails SAME_ID_ONLY
+check successor fails LEAD_BACK_BLIND
 check settle holds AT_MOST_ONCE
 check settle holds TRUE_REFUSAL
 check settle holds TRUE_OUTCOME
