--- a/src/change/ChangePolicyTest.cpp
+++ b/src/change/ChangePolicyTest.cpp
@@ -59,6 +59,7 @@
   CPPUNIT_TEST(aSilentReplicaDelaysTheChoice);
   CPPUNIT_TEST(withSynchronousReplicasEnoughMustReport);
   CPPUNIT_TEST(noAcknowledgedSynchronousCommitIsLost);
+  CPPUNIT_TEST(aSynchronousCandidateHasAllThatTheOldPrimaryShows);
   CPPUNIT_TEST(onlyTheCandidateIsTheNewLeader);
   CPPUNIT_TEST(theNewestTermLeadsIfNoCandidateIsKnown);
   CPPUNIT_TEST(anotherMemberIsPreferredToOneThatDidNotTakeOver);
@@ -252,6 +253,19 @@
     }));
   }
 
+  // Guards against a planned replacement by a replica that receives nothing.
+  void aSynchronousCandidateHasAllThatTheOldPrimaryShows() {
+    const Duration Long = std::chrono::hours(1);
+    const std::vector Behind = {report("a", 12), report("b", 11)};
+    CPPUNIT_ASSERT(!chooseCandidate(Behind, rules(1, Long)));
+    CPPUNIT_ASSERT(chooseCandidate(Behind, rules(0, Long)));
+    const std::vector Leaving = {report("a", 12), report("b", 11),
+                                 report("c", 12, true)};
+    CPPUNIT_ASSERT(!chooseCandidate(Leaving, rules(1, milliseconds(599))));
+    CPPUNIT_ASSERT_EQUAL(std::string("c"),
+                         chooseCandidate(Leaving, rules(1, Long))->Member);
+  }
+
   static MemberReport leader(const std::string &Id, Term Leads) {
     MemberReport R = report(Id, 5);
     R.Primary = true;
--- a/src/change/ReceiversTest.cpp
+++ b/src/change/ReceiversTest.cpp
@@ -105,6 +105,7 @@
           Running.push_back(All.back());
       }
       std::vector<LogIndex> Sorted;
+      Sorted.reserve(All.size());
       for (const MemberReport &R : All)
         Sorted.push_back(R.Received.Index);
       std::sort(Sorted.rbegin(), Sorted.rend());
--- a/src/entry/Coordinator.cpp
+++ b/src/entry/Coordinator.cpp
@@ -256,6 +256,12 @@
   const bool IsReachable = S.Store.isReachable(Now);
   for (const auto &[Service, Pool] : S.ByService) {
     const GroupRecord &Record = Pool->record();
+    if (Record.Unsettled.empty() && Record.Candidate.empty() &&
+        Record.Receivers.empty()) {
+      ContendersAbsent.erase(Service);
+      ReceiversAbsent.erase(Service);
+      continue;
+    }
     std::vector<std::string> Contenders = Record.Unsettled;
     if (!Record.Candidate.empty())
       Contenders.push_back(Record.Candidate);
--- a/src/entry/SuccessorSearchTest.cpp
+++ b/src/entry/SuccessorSearchTest.cpp
@@ -323,6 +323,7 @@
   void playAll(const std::vector<Order> &Orders, Duration Length) {
     const Time Start = runtime::bootTime();
     std::vector<std::unique_ptr<Play>> Plays;
+    Plays.reserve(Orders.size());
     for (const Order &Each : Orders)
       Plays.push_back(std::make_unique<Play>(Each, Start));
     Time Now = Start;
