Let a daemon without connections probe members only during a change

Cause: let every daemon probe the members that it suspects, so that a coordinator without connections sees a primary that is back. Change: it probes only while the record is changing, and what it last saw does not speak against a successor.

--- a/src/entry/Coordinator.cpp
+++ b/src/entry/Coordinator.cpp
@@ -190,9 +190,10 @@
                                    Time Now) {
   const GroupRecord &Record = Pool.record();
   const std::vector<catalog::Member> Members = Pool.members();
+  // Without connections, what this daemon last saw may have passed.
   std::vector<std::string> Suspected;
   for (const catalog::Member &M : Members)
-    if (Pool.isSuspected(M.Id, Now))
+    if (Pool.isConnectionHolder() && Pool.isSuspected(M.Id, Now))
       Suspected.push_back(M.Id);
   Reports.push_back({Record.Primary, Pool.evidence(Record.Primary, Now)});
   for (const auto &[Name, Other] : S.Peers) {
--- a/src/pool/ServicePoolUpkeep.cpp
+++ b/src/pool/ServicePoolUpkeep.cpp
@@ -79,9 +79,11 @@
     closeSurplus(M, Now);
     reportHealth(M, Now);
     const bool Quiet = Now - M.Health.lastReply() > ProbeInterval;
-    // A daemon without connections suspects a member only after a request of
-    // its own, which would be its last one.
-    const bool IsProbed = IsConnectionHolder || M.Health.isSuspected(Now);
+    // A change of primary waits for a member that its coordinator suspects, and
+    // asks it no more. Otherwise a daemon without connections has no say in
+    // whether a member answers.
+    const bool IsProbed =
+        IsConnectionHolder || (Record.Changing && M.Health.isSuspected(Now));
     if (M.Registered && Quiet && !M.Probing && IsProbed) {
       M.Probing = true;
       runtime::spawn(Shared.Io, probe(Id));
